--- a/benchmarks/_fleet_world.py
+++ b/benchmarks/_fleet_world.py
@@ -17,7 +17,7 @@
 from bronzesail.explain import DecisionLog
 from bronzesail.fleet import FleetService, FleetSettings, RouterInfo
 from bronzesail.http import HttpClient
-from bronzesail.platform import HttpHostDirectory, HttpTable
+from bronzesail.storage import HttpHostDirectory, HttpTable
 from bronzesail.schema import HostEntry, PriorityClass
 from bronzesail.standin import HostListStandin, LinkStandin, RegionLink, TableStandin
 from bronzesail.util.clock import SystemClock
--- a/benchmarks/budget_fleet.py
+++ b/benchmarks/budget_fleet.py
@@ -13,7 +13,7 @@
 from bronzesail.configuration import Configuration
 from bronzesail.explain import DecisionLog
 from bronzesail.fleet import PeerUnreachableError, RouterInfo
-from bronzesail.platform import OutcomeUnknownError, UnreachableError
+from bronzesail.storage import OutcomeUnknownError, UnreachableError
 from bronzesail.schema import (
     Deployment,
     HostEntry,
--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -28,7 +28,7 @@
     wait_until_ready,
 )
 from bronzesail.http import HttpClient
-from bronzesail.platform import HttpTable
+from bronzesail.storage import HttpTable
 from bronzesail.standin import EngineSpeed
 
 if TYPE_CHECKING:
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -29,7 +29,7 @@
     read_budget,
     top_up,
 )
-from bronzesail.platform import PlatformError
+from bronzesail.storage import PlatformError
 
 __all__ = ["Fault", "SoakPlan", "SoakResult", "make_plan", "run_plan"]
 
--- a/bronzesail/application.py
+++ b/bronzesail/application.py
@@ -14,7 +14,7 @@
 from .http import HttpClient, HttpServer
 from .operator import ExplainService, OperatorApi, OperatorParts
 from .orders import OrderService
-from .platform import HttpHostDirectory, HttpTable
+from .storage import HttpHostDirectory, HttpTable
 from .request import RequestService, RequestSettings, UsageClient
 from .routing import RoutingService
 from .schema import (
--- a/bronzesail/budget/_keeper.py
+++ b/bronzesail/budget/_keeper.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from ..platform import PlatformError
+from ..storage import PlatformError
 from ..util.invariants import InvariantError
 from ._grant import RecordState
 from ._ledger import make_digest
--- a/bronzesail/budget/_operators.py
+++ b/bronzesail/budget/_operators.py
@@ -8,14 +8,14 @@
 from returns.result import Failure, Result, Success
 
 from ..errors import Refusal, ResultCode
-from ..platform import OutcomeUnknownError
+from ..storage import OutcomeUnknownError
 from ..schema import BudgetRow, Row, RowWrite, TopUpRow
 from ..schema.codec import decode_as, encode
 from ._escrow import check_row, find_hold, make_budget_key, make_top_up_key
 from ._holds import resolve_hold
 
 if TYPE_CHECKING:
-    from ..platform import Table
+    from ..storage import Table
 
 __all__ = ["create_budget", "read_budget", "release_hold", "top_up"]
 
--- a/bronzesail/budget/_recovery.py
+++ b/bronzesail/budget/_recovery.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ..fleet import PeerRefusedError, PeerUnreachableError
-from ..platform import PlatformError
+from ..storage import PlatformError
 from ..schema import FenceReply, FenceRequest
 from ._escrow import check_row, find_grant, find_hold
 from ._grant import make_journal_record
--- a/bronzesail/budget/_scanner.py
+++ b/bronzesail/budget/_scanner.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from ..explain import PartLogger
-from ..platform import PlatformError
+from ..storage import PlatformError
 from ..schema.codec import CodecError
 from ..util.invariants import InvariantError
 from ._topology import find_rank
--- a/bronzesail/budget/_service.py
+++ b/bronzesail/budget/_service.py
@@ -45,7 +45,7 @@
     from ..configuration import Configuration, ConfigurationView
     from ..explain import DecisionLog
     from ..fleet import Membership, PeerNetwork
-    from ..platform import Table
+    from ..storage import Table
     from ..schema import BudgetRow
     from ..util.clock import Clock
 
--- a/bronzesail/budget/_store.py
+++ b/bronzesail/budget/_store.py
@@ -6,14 +6,14 @@
 
 import attrs
 
-from ..platform import OutcomeUnknownError, PlatformError
+from ..storage import OutcomeUnknownError, PlatformError
 from ..schema import BudgetRow, LedgerPage, Row, RowWrite
 from ..schema.codec import decode_as, encode
 from ._escrow import make_budget_key
 from ._ledger import Ledger, make_ledger_prefix
 
 if TYPE_CHECKING:
-    from ..platform import Table
+    from ..storage import Table
     from ..util.clock import Clock
     from ._holder import Holder
     from ._ledger import Charge
--- a/bronzesail/configuration/_service.py
+++ b/bronzesail/configuration/_service.py
@@ -10,7 +10,7 @@
 from ..errors import Refusal, ResultCode
 from ..explain import Decision, PartLogger
 from ..fleet import PeerRefusedError, PeerUnreachableError, choose_owners
-from ..platform import PlatformError
+from ..storage import PlatformError
 from ..schema import (
     ApplyReport,
     ConfigurationDelta,
@@ -40,7 +40,7 @@
 
     from ..explain import DecisionLog
     from ..fleet import Membership, PeerNetwork, RouterInfo
-    from ..platform import Table
+    from ..storage import Table
     from ..schema import ConfigurationChange, ConfigurationSettings
     from ..util.clock import Clock
     from ._state import Configuration
--- a/bronzesail/configuration/_store.py
+++ b/bronzesail/configuration/_store.py
@@ -8,13 +8,13 @@
 
 import attrs
 
-from ..platform import OutcomeUnknownError, PlatformError
+from ..storage import OutcomeUnknownError, PlatformError
 from ..schema import ConfigurationHead, ConfigurationVersion, RowWrite
 from ..schema.codec import decode_as, encode
 from ._version_log import VersionLog
 
 if TYPE_CHECKING:
-    from ..platform import Table
+    from ..storage import Table
     from ..schema import Row
     from ._state import Configuration
 
--- a/bronzesail/fleet/_service.py
+++ b/bronzesail/fleet/_service.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ..explain import Decision, PartLogger
-from ..platform import PlatformError
+from ..storage import PlatformError
 from ..schema import (
     Acknowledgement,
     CheckReply,
@@ -40,7 +40,7 @@
     from collections.abc import Callable, Coroutine
 
     from ..explain import DecisionLog
-    from ..platform import HostDirectory
+    from ..storage import HostDirectory
     from ..schema import FleetSettings, HostEntry, HostList
     from ..util.clock import Clock
     from ._interfaces import PeerHandler
--- /dev/null
+++ b/bronzesail/model/__init__.py
@@ -0,0 +1,41 @@
+"""Types that the router and the platform's adapter share."""
+
+from __future__ import annotations
+
+from ._rows import Row, RowCheck, RowKey, RowsAnswer, RowWrite
+from ._types import (
+    AnswerHead,
+    BackendServer,
+    Bounds,
+    ClientAccount,
+    Configuration,
+    Engine,
+    HostSettings,
+    Limits,
+    RequestHead,
+    RequestKind,
+    Route,
+    Service,
+    StoreSettings,
+)
+
+__all__ = [
+    "AnswerHead",
+    "BackendServer",
+    "Bounds",
+    "ClientAccount",
+    "Configuration",
+    "Engine",
+    "HostSettings",
+    "Limits",
+    "RequestHead",
+    "RequestKind",
+    "Route",
+    "Row",
+    "RowCheck",
+    "RowKey",
+    "RowWrite",
+    "RowsAnswer",
+    "Service",
+    "StoreSettings",
+]
--- /dev/null
+++ b/bronzesail/model/_types.py
@@ -0,0 +1,208 @@
+"""Types that every part of the router shares; all times are in seconds."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+__all__ = [
+    "AnswerHead",
+    "BackendServer",
+    "Bounds",
+    "ClientAccount",
+    "Configuration",
+    "Engine",
+    "HostSettings",
+    "Limits",
+    "RequestHead",
+    "RequestKind",
+    "Route",
+    "Service",
+    "StoreSettings",
+]
+
+
+class RequestKind(enum.Enum):
+    """What may be repeated of a request."""
+
+    IDEMPOTENT = "idempotent"
+    ONCE = "once"
+    STREAM = "stream"
+
+
+@attrs.frozen(kw_only=True)
+class Engine:
+    """What a service of model engines offers, each engine alike."""
+
+    slots: int
+    cache_tokens: int
+    tokens_per_event: int
+
+
+@attrs.frozen(kw_only=True)
+class Service:
+    """A set of backend servers that serve the same routes."""
+
+    name: str
+    health_path: str
+    max_connections: int
+    engine: Engine | None = None
+
+
+@attrs.frozen(kw_only=True)
+class Route:
+    """Requests of one host name and path prefix, and how they are served."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: RequestKind
+    timeout_s: float
+    objective_s: float
+    max_attempts: int
+    priority: int
+    is_public: bool
+    is_resumable: bool
+    services: tuple[tuple[str, float], ...]
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether a request that may have run can be sent again."""
+        return self.kind is RequestKind.IDEMPOTENT or self.is_resumable
+
+
+@attrs.frozen(kw_only=True)
+class ClientAccount:
+    """A client account: its keys and the tokens that it has prepaid."""
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int | None
+    prepaid_tokens: int | None
+
+
+@attrs.frozen(kw_only=True)
+class Limits:
+    """What a caller may send and how long it may take."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@attrs.frozen(kw_only=True)
+class Configuration:
+    """One accepted version of the configuration, in full."""
+
+    version: int
+    routes: dict[str, tuple[Route, ...]]
+    services: dict[str, Service]
+    accounts: dict[str, ClientAccount]
+    limits: Limits
+    account_by_key: dict[str, ClientAccount]
+    encoded: bytes
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route of `host` with the longest prefix that begins `path`."""
+        for route in self.routes.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+@attrs.frozen(kw_only=True)
+class BackendServer:
+    """One start of a backend server, as the directory lists it."""
+
+    id: str
+    service: str
+    ip: str
+    port: int
+    zone: str
+    slots: int
+    is_draining: bool
+    cold_left_s: float
+    born_ms: int
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """IP address and port."""
+        return self.ip, self.port
+
+
+@attrs.frozen(kw_only=True)
+class RequestHead:
+    """What a caller's headers say, beside what is passed on unchanged."""
+
+    request_id: str
+    deadline_s: float | None
+    key: str | None
+    prompt_tokens: int
+    max_output_tokens: int
+    prefix: tuple[tuple[str, int], ...]
+    last_event_id: str | None
+    forwarded: bytes
+
+    @property
+    def max_tokens(self) -> int:
+        """The most tokens that the request can cost."""
+        return self.prompt_tokens + self.max_output_tokens
+
+
+@attrs.frozen(kw_only=True)
+class AnswerHead:
+    """What a backend server's headers say of its answer."""
+
+    status: int
+    request_id: str | None
+    is_not_run: bool
+    is_sealed: bool
+    is_encoded: bool
+    running: int | None
+    waiting: int | None
+    passed_on: bytes
+
+
+@attrs.frozen(kw_only=True)
+class Bounds:
+    """Time limits that the operators set for the whole fleet."""
+
+    drain_s: float
+    grace_s: float
+    retry_ratio: float
+    retry_slack: float
+    retry_window_s: float
+
+
+@attrs.frozen(kw_only=True)
+class StoreSettings:
+    """Where the store is and what it takes."""
+
+    ip: str
+    port: int
+    row_bytes: int
+
+
+@attrs.frozen(kw_only=True)
+class HostSettings:
+    """What a router process is told when it starts."""
+
+    host: str
+    ip: str
+    zone: str
+    region_by_zone: dict[str, str]
+    caller_address: tuple[str, int]
+    ready_address: tuple[str, int]
+    control_address: tuple[str, int] | None
+    internal_ports: tuple[int, int]
+    seeds: tuple[tuple[str, int], ...]
+    bounds: Bounds
+    store: StoreSettings
+    memory_bytes: int
+
+    @property
+    def region(self) -> str:
+        """The region that the host stands in."""
+        return self.region_by_zone.get(self.zone, "")
--- a/bronzesail/operator/_api.py
+++ b/bronzesail/operator/_api.py
@@ -16,7 +16,7 @@
 from ..explain import PartLogger
 from ..http import send_json, send_refusal
 from ..orders import place_in_table, read_order
-from ..platform import PlatformError
+from ..storage import PlatformError
 from ..schema import (
     ApplyReport,
     ConfigurationInForce,
--- a/bronzesail/operator/_parts.py
+++ b/bronzesail/operator/_parts.py
@@ -10,7 +10,7 @@
 from ..configuration import ConfigurationService
 from ..explain import Metrics
 from ..fleet import Membership
-from ..platform import Table
+from ..storage import Table
 from ._explanations import ExplainService
 
 __all__ = ["OperatorParts"]
--- a/bronzesail/orders/_keeper.py
+++ b/bronzesail/orders/_keeper.py
@@ -6,7 +6,7 @@
 import itertools
 from typing import TYPE_CHECKING
 
-from ..platform import OutcomeUnknownError, PlatformError
+from ..storage import OutcomeUnknownError, PlatformError
 from ..schema import RowWrite
 from ..schema.codec import CodecError, encode
 from ._actions import (
@@ -26,7 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..platform import Table
+    from ..storage import Table
     from ..schema import Row
     from ..util.clock import Clock
     from ._actions import Action
--- a/bronzesail/orders/_service.py
+++ b/bronzesail/orders/_service.py
@@ -21,7 +21,7 @@
     from ..explain import DecisionLog
     from ..fleet import Membership, RouterInfo
     from ..http import HttpClient
-    from ..platform import Table
+    from ..storage import Table
     from ..schema import HostEntry, OrderSettings
     from ..util.clock import Clock
 
--- a/bronzesail/orders/_weights.py
+++ b/bronzesail/orders/_weights.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from ..platform import OutcomeUnknownError
+from ..storage import OutcomeUnknownError
 from ..schema import RowWrite, WeightStoreRow
 from ..schema.codec import decode_as, encode
 
 if TYPE_CHECKING:
-    from ..platform import Table
+    from ..storage import Table
     from ..util.clock import Clock
 
 __all__ = ["WEIGHT_STORE_KEY", "WeightStoreLimit"]
--- a/bronzesail/platform/__init__.py
+++ b/bronzesail/platform/__init__.py
@@ -1,27 +1,24 @@
-"""The platform's table service, object store and host list, as the fleet uses them."""
+"""Translates between the platform's wire and the router's types, and nothing else."""
 
 from __future__ import annotations
 
-from ._http import HttpHostDirectory, HttpObjectStore, HttpTable
-from ._interfaces import (
-    HostDirectory,
-    ObjectStore,
-    OutcomeUnknownError,
-    PlatformError,
-    Table,
-    ThrottledError,
-    UnreachableError,
-)
+from ._answers import AnswerHeadReader, encode_refusal_head
+from ._configuration import decode_configuration
+from ._requests import encode_forwarded_head, read_request_head
+from ._servers import decode_server
+from ._settings import SETTINGS_PATH_VARIABLE, decode_settings
+from ._store import CONFIGURATION_ROW, SERVER_TABLE, StoreWire
 
 __all__ = [
-    "HostDirectory",
-    "HttpHostDirectory",
-    "HttpObjectStore",
-    "HttpTable",
-    "ObjectStore",
-    "OutcomeUnknownError",
-    "PlatformError",
-    "Table",
-    "ThrottledError",
-    "UnreachableError",
+    "CONFIGURATION_ROW",
+    "SERVER_TABLE",
+    "SETTINGS_PATH_VARIABLE",
+    "AnswerHeadReader",
+    "StoreWire",
+    "decode_configuration",
+    "decode_server",
+    "decode_settings",
+    "encode_forwarded_head",
+    "encode_refusal_head",
+    "read_request_head",
 ]
--- /dev/null
+++ b/bronzesail/platform/_configuration.py
@@ -0,0 +1,129 @@
+"""Decodes the configuration that the operators write."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from ..model import (
+    ClientAccount,
+    Configuration,
+    Engine,
+    Limits,
+    RequestKind,
+    Route,
+    Service,
+)
+from ._fields import MalformedError, read_int, read_text
+
+__all__ = ["decode_configuration"]
+
+KINDS = {
+    "idempotent": RequestKind.IDEMPOTENT,
+    "non_idempotent": RequestKind.ONCE,
+    "streaming": RequestKind.STREAM,
+}
+
+
+def decode_configuration(body: bytes) -> Configuration:
+    """Return the configuration that `body` holds.
+
+    Raises
+    ------
+    ValueError
+        If it is not the platform's JSON or lacks a field.
+    """
+    try:
+        fields = msgspec.json.decode(body)
+    except msgspec.DecodeError as error:
+        raise MalformedError(str(error)) from error
+    if not isinstance(fields, dict):
+        raise MalformedError("the configuration is not a map")
+    accounts = [_decode_account(entry) for entry in fields.get("tenants") or ()]
+    services = [_decode_service(entry) for entry in fields.get("services") or ()]
+    return Configuration(
+        version=read_int(fields, "version"),
+        routes=_index_routes(_decode_route(r) for r in fields.get("routes") or ()),
+        services={service.name: service for service in services},
+        accounts={account.name: account for account in accounts},
+        limits=_decode_limits(fields.get("limits") or {}),
+        account_by_key={key: a for a in accounts for key in a.keys},
+        encoded=body,
+    )
+
+
+def _index_routes(routes: Any) -> dict[str, tuple[Route, ...]]:
+    by_host: dict[str, list[Route]] = {}
+    for route in routes:
+        by_host.setdefault(route.host, []).append(route)
+    return {
+        host: tuple(sorted(found, key=lambda route: -len(route.prefix)))
+        for host, found in by_host.items()
+    }
+
+
+def _decode_route(fields: dict[str, Any]) -> Route:
+    kind = KINDS.get(read_text(fields, "routeKind"))
+    if kind is None:
+        raise MalformedError("a route has an unknown kind")
+    # A route names one service, or several with weights.
+    split = fields.get("split") or [{"service": fields.get("service"), "weight": 1}]
+    timeout_s = read_int(fields, "timeoutMs", 15_000) / 1000
+    return Route(
+        name=read_text(fields, "name"),
+        host=read_text(fields, "host").lower(),
+        prefix=read_text(fields, "prefix"),
+        kind=kind,
+        timeout_s=timeout_s,
+        objective_s=read_int(fields, "goalMs", int(timeout_s * 1000)) / 1000,
+        max_attempts=max(1, read_int(fields, "maxAttempts", 1)),
+        priority=read_int(fields, "priority", 5),
+        is_public=fields.get("public") is True,
+        is_resumable=fields.get("resumable") is True,
+        services=tuple(
+            (read_text(part, "service"), float(part.get("weight", 1))) for part in split
+        ),
+    )
+
+
+def _decode_service(fields: dict[str, Any]) -> Service:
+    engine = fields.get("engine")
+    return Service(
+        name=read_text(fields, "name"),
+        health_path=fields.get("healthPath") or "/",
+        max_connections=read_int(fields, "maxConns", 100),
+        engine=None if not engine else _decode_engine(engine),
+    )
+
+
+def _decode_engine(fields: dict[str, Any]) -> Engine:
+    return Engine(
+        slots=read_int(fields, "slots", 1),
+        cache_tokens=read_int(fields, "kvCapacity", 0),
+        # The most tokens that one event of a stream holds.
+        tokens_per_event=max(1, read_int(fields, "stride", 1)),
+    )
+
+
+def _decode_account(fields: dict[str, Any]) -> ClientAccount:
+    # "reserved" is what the account has prepaid for the day, not what is set aside.
+    prepaid = fields.get("reserved")
+    return ClientAccount(
+        name=read_text(fields, "name"),
+        keys=tuple(str(key) for key in fields.get("apiKeys") or ()),
+        priority=None if fields.get("priority") is None else int(fields["priority"]),
+        prepaid_tokens=None if prepaid is None else int(prepaid),
+    )
+
+
+def _decode_limits(fields: dict[str, Any]) -> Limits:
+    default = Limits()
+    header_ms = read_int(fields, "headerTimeoutMs", 3000)
+    idle_ms = read_int(fields, "idleTimeoutMs", 15_000)
+    return Limits(
+        header_bytes=read_int(fields, "maxHeaderBytes", default.header_bytes),
+        body_bytes=read_int(fields, "maxBodyBytes", default.body_bytes),
+        header_timeout_s=header_ms / 1000,
+        idle_timeout_s=idle_ms / 1000,
+    )
--- /dev/null
+++ b/bronzesail/platform/_fields.py
@@ -0,0 +1,48 @@
+"""Reads typed fields out of decoded maps."""
+
+from __future__ import annotations
+
+from typing import Any
+
+__all__ = ["MalformedError", "read_address", "read_int", "read_map", "read_text"]
+
+
+class MalformedError(ValueError):
+    """Raised when a message from the platform lacks a field or has a wrong type."""
+
+
+def read_text(fields: dict[str, Any], name: str) -> str:
+    """Return a text field."""
+    value = fields.get(name)
+    if not isinstance(value, str) or not value:
+        raise MalformedError(f"{name} is not a text")
+    return value
+
+
+def read_int(fields: dict[str, Any], name: str, default: int | None = None) -> int:
+    """Return a whole number, or `default` where the field is missing."""
+    value = fields.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise MalformedError(f"{name} is not a number")
+    return int(value)
+
+
+def read_map(fields: dict[str, Any], name: str) -> dict[str, Any]:
+    """Return a map."""
+    value = fields.get(name)
+    if not isinstance(value, dict):
+        raise MalformedError(f"{name} is not a map")
+    return value
+
+
+def read_address(text: Any) -> tuple[str, int]:
+    """Return the IP address and port of ``IP:PORT``."""
+    if not isinstance(text, str):
+        raise MalformedError("an address is not a text")
+    ip, separator, port = text.rpartition(":")
+    parts = ip.split(".")
+    if not separator or not port.isdigit() or not 0 < int(port) < 65536:
+        raise MalformedError(f"{text!r} is not an address")
+    if len(parts) != 4 or not all(p.isdigit() and int(p) < 256 for p in parts):
+        raise MalformedError(f"{text!r} is not an address")
+    return ip, int(port)
--- /dev/null
+++ b/bronzesail/platform/_requests.py
@@ -0,0 +1,143 @@
+"""Decodes callers' headers and encodes the head that a backend server gets."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..model import RequestHead
+from ._fields import MalformedError
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+__all__ = ["encode_forwarded_head", "read_request_head"]
+
+# Headers that concern one connection only.
+CONNECTION_HEADERS = {
+    b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization",
+    b"te", b"trailer", b"transfer-encoding", b"upgrade", b"proxy-connection",
+    b"content-length", b"expect",
+}  # fmt: skip
+# Headers that only the router sets.
+ROUTER_HEADERS = {
+    b"authorization", b"x-tenant", b"x-expect-instance", b"x-deadline-ms",
+    b"x-request-priority", b"x-expect-version", b"x-pin-ms", b"x-kv-retention",
+    b"x-kv-replica", b"kv-from", b"kv-fetch", b"last-event-id",
+}  # fmt: skip
+MAX_ID_BYTES = 200  # As long as a key of the store may be.
+
+
+def read_request_head(headers: Sequence[tuple[bytes, bytes]]) -> RequestHead:
+    """Return what the headers of one request say.
+
+    Raises
+    ------
+    ValueError
+        If a header that the router needs is missing, doubled or malformed.
+    """
+    found: dict[bytes, bytes] = {}
+    listed: set[bytes] = set()
+    for name, value in headers:
+        lower = name.lower()
+        if lower == b"connection":
+            listed.update(part.strip().lower() for part in value.split(b","))
+            continue
+        if lower in found and lower in (b"x-attempt-id", b"authorization"):
+            raise MalformedError("a header stands twice")
+        found[lower] = value
+    request_id = found.get(b"x-attempt-id", b"").decode("latin-1")
+    if not request_id or len(request_id) > MAX_ID_BYTES:
+        raise MalformedError("the request has no id")
+    prompt, output = _read_token_counts(found.get(b"x-token-counts"))
+    last_event_id = found.get(b"last-event-id")
+    return RequestHead(
+        request_id=request_id,
+        deadline_s=_read_deadline_s(found.get(b"x-deadline-ms")),
+        key=_read_key(found.get(b"authorization")),
+        prompt_tokens=prompt,
+        max_output_tokens=output,
+        prefix=_read_prefix(found.get(b"x-prefix-hash")),
+        last_event_id=None
+        if last_event_id is None
+        else last_event_id.decode("latin-1"),
+        forwarded=_copy_headers(headers, listed),
+    )
+
+
+def encode_forwarded_head(
+    method: bytes,
+    target: bytes,
+    head: RequestHead,
+    *,
+    body_bytes: int | None,
+    server_id: str,
+    account: str | None,
+    left_s: float | None,
+    priority: int | None,
+    last_event_id: str | None,
+) -> bytes:
+    """Return the head of a request as it goes to a backend server."""
+    lines = [method, b" ", target, b" HTTP/1.1\r\n", head.forwarded]
+    lines.append(b"X-Expect-Instance: %b\r\n" % server_id.encode("latin-1"))
+    if left_s is not None:
+        lines.append(b"X-Deadline-Ms: %d\r\n" % max(1, int(left_s * 1000)))
+    if account is not None:
+        lines.append(b"X-Tenant: %b\r\n" % account.encode("latin-1"))
+    if priority is not None:
+        lines.append(b"X-Request-Priority: %d\r\n" % priority)
+    if last_event_id is not None:
+        lines.append(b"Last-Event-Id: %b\r\n" % last_event_id.encode("latin-1"))
+    if body_bytes is not None:
+        lines.append(b"Content-Length: %d\r\n" % body_bytes)
+    lines.append(b"\r\n")
+    return b"".join(lines)
+
+
+def _copy_headers(headers: Sequence[tuple[bytes, bytes]], listed: set[bytes]) -> bytes:
+    lines = []
+    for name, value in headers:
+        lower = name.lower()
+        if lower in CONNECTION_HEADERS or lower in ROUTER_HEADERS or lower in listed:
+            continue
+        lines.append(b"%b: %b\r\n" % (name, value))
+    return b"".join(lines)
+
+
+def _read_deadline_s(value: bytes | None) -> float | None:
+    if value is None:
+        return None
+    try:
+        return max(0.0, float(value) / 1000)
+    except ValueError as error:
+        raise MalformedError("the deadline is not a number") from error
+
+
+def _read_key(value: bytes | None) -> str | None:
+    if value is None:
+        return None
+    scheme, _, key = value.decode("latin-1").strip().partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else None
+
+
+def _read_token_counts(value: bytes | None) -> tuple[int, int]:
+    """Read the prompt's tokens and the most that may be generated."""
+    if value is None:
+        return 0, 0
+    prompt, _, output = value.partition(b",")
+    try:
+        counts = int(prompt), int(output)
+    except ValueError as error:
+        raise MalformedError("the token counts are not numbers") from error
+    if min(counts) < 0:
+        raise MalformedError("the token counts are negative")
+    return counts
+
+
+def _read_prefix(value: bytes | None) -> tuple[tuple[str, int], ...]:
+    parts = []
+    for entry in (value or b"").decode("latin-1").split(","):
+        part_id, separator, tokens = entry.strip().partition(":")
+        if not separator or not tokens.isdigit():
+            continue
+        parts.append((part_id, int(tokens)))
+    return tuple(parts)
--- /dev/null
+++ b/bronzesail/platform/_servers.py
@@ -0,0 +1,45 @@
+"""Decodes the entries that backend servers write of themselves."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..model import BackendServer
+from ._fields import MalformedError, read_address, read_int, read_text
+
+__all__ = ["decode_server"]
+
+
+def decode_server(server_id: str, value: bytes) -> BackendServer:
+    """Return the backend server that an entry describes.
+
+    Raises
+    ------
+    ValueError
+        If the entry names no server that can be used.
+    """
+    try:
+        fields = msgspec.json.decode(value)
+    except msgspec.DecodeError as error:
+        raise MalformedError(str(error)) from error
+    if not isinstance(fields, dict):
+        raise MalformedError("the entry is not a map")
+    state = read_text(fields, "state")
+    if state not in ("ready", "draining"):
+        raise MalformedError(f"the state {state!r} is unknown")
+    ip, port = read_address(fields.get("address"))
+    slots = read_int(fields, "slots")
+    if slots < 1:
+        raise MalformedError("the entry has no slots")
+    return BackendServer(
+        id=server_id,
+        service=read_text(fields, "service"),
+        ip=ip,
+        port=port,
+        zone=read_text(fields, "zone"),
+        slots=slots,
+        is_draining=state == "draining",
+        # "coldLeftMs" is how much longer the server stays slow after its start.
+        cold_left_s=read_int(fields, "coldLeftMs", 0) / 1000,
+        born_ms=read_int(fields, "born", 0),
+    )
--- a/bronzesail/request/_claims.py
+++ b/bronzesail/request/_claims.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from ..platform import OutcomeUnknownError, PlatformError
+from ..storage import OutcomeUnknownError, PlatformError
 from ..schema import ClaimRow, RouterId, RowWrite
 from ..schema.codec import CodecError, decode_as, encode
 from ._ids import derive_request_id
--- a/bronzesail/request/_context.py
+++ b/bronzesail/request/_context.py
@@ -11,7 +11,7 @@
 from ..explain import Decision, DecisionLog, PartLogger
 from ..fleet import Membership, PeerNetwork
 from ..http import HttpClient
-from ..platform import Table
+from ..storage import Table
 from ..routing import Selector
 from ..util.clock import Clock
 from ._engine import EngineClient
--- a/bronzesail/request/_quarantine.py
+++ b/bronzesail/request/_quarantine.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ..fleet import PeerRefusedError, PeerUnreachableError, choose_owners
-from ..platform import PlatformError
+from ..storage import PlatformError
 from ..schema import (
     Acknowledgement,
     PoisonRow,
--- a/bronzesail/request/_service.py
+++ b/bronzesail/request/_service.py
@@ -35,7 +35,7 @@
     from ..explain import DecisionLog
     from ..fleet import Membership, PeerNetwork
     from ..http import HttpClient
-    from ..platform import Table
+    from ..storage import Table
     from ..routing import Selector
     from ..schema import ClientAccount
     from ..util.clock import Clock
--- /dev/null
+++ b/bronzesail/router/__init__.py
@@ -0,0 +1,1 @@
+"""The router process: callers' requests, backend servers, budgets and the store."""
--- /dev/null
+++ b/bronzesail/router/application.py
@@ -0,0 +1,440 @@
+"""Composition root of the router process, and its start and stop."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+from typing import TYPE_CHECKING
+
+import uvloop
+
+from ..model import Limits
+from ..platform import SETTINGS_PATH_VARIABLE, decode_settings
+from .budget import BudgetBook
+from .budget_desk import BudgetDesk
+from .budget_keeper import BudgetKeeper
+from .caller import CallerConnection, CallerRequest
+from .client import Call, ClientPool, ConnectError
+from .clocks import read_clock
+from .directory import Directory
+from .exchange import Exchange
+from .inner import CONFIGURATION_PATH, METRICS_PATH, start_inner_server
+from .log import Log
+from .metrics import Metrics
+from .peers import Hello, Peer, Peers
+from .placement import Placement
+from .poison import PoisonList
+from .services import Services
+from .store import StoreClient, StoreError
+from .waiting import WaitingLine
+from .watches import ConfigurationKeeper, ConfigurationWatch, ServerWatch
+
+if TYPE_CHECKING:
+    from ..errors import Refusal
+    from ..model import Configuration
+
+__all__ = ["Application", "main"]
+
+SWEEP_S = 0.25  # Idle connections, lapsed entries and unreachable servers.
+SETTINGS_CHECK_S = 1.0  # The settings file may change without a signal.
+LEAVING_NOTICE_S = 2.3  # Two misses of a question a second take a host out.
+TAKE_UNTIL_S = 3.0  # Requests sent up to 3 s after SIGTERM are served to their end.
+EXIT_MARGIN_S = 0.5  # Before the platform kills the process.
+PEER_CALL_S = 1.0  # A configuration of some hundred KB across regions.
+HOLDERS_S = 3.0  # Between looks at the rows of the other processes.
+MISSED_HELLO_S = 0.9  # Two of a peer's hellos.
+SHARED_METRICS_PORT = 9464  # The port that deploy/system.toml names.
+BACKLOG = 1024
+
+
+class Application:
+    """One router process.
+
+    Parameters
+    ----------
+    loop : asyncio.AbstractEventLoop
+        The loop to run on.
+    settings_path : str
+        The platform's settings file.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, settings_path: str) -> None:
+        self._loop = loop
+        self._settings_path = settings_path
+        self._settings_text = _read_text(settings_path)
+        self.settings = decode_settings(self._settings_text)
+        self.log = Log(self.settings.host)
+        self.log.attach(loop)
+        self.incarnation = os.urandom(6).hex()
+        self._random = random.Random(self.incarnation)
+        self.is_draining = False
+        self._stop_requested = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._callers: set[CallerConnection] = set()
+        self._exchanges: set[asyncio.Task[None]] = set()
+        self._servers: list[asyncio.Server] = []
+        self._fetching: asyncio.Task[None] | None = None
+        self._holder_by_host: dict[str, str] = {}
+        self._suspected: dict[str, float] = {}
+        self._wire()
+
+    def _wire(self) -> None:
+        settings = self.settings
+        loop = self._loop
+        self._key = f"{settings.host}.{self.incarnation}"
+        self._inner_address = (settings.ip, settings.internal_ports[0])
+        address = f"{settings.ip}:{settings.internal_ports[0]}"
+        self.store = StoreClient(loop, settings)
+        self.configuration = ConfigurationKeeper(self.log, self._take_configuration)
+        self.directory = Directory(loop.time)
+        self.placement = Placement(loop.time, settings.zone, settings.region_by_zone)
+        self.line = WaitingLine(self.directory, self.placement)
+        self.book = BudgetBook(settings.host, address, read_clock)
+        self.keeper = BudgetKeeper(
+            self.book, self.store, self.log, self._key, self._serve_waiters
+        )
+        self.poison = PoisonList(loop.time)
+        self.peers = Peers(
+            loop, self.book, self.log, self._make_hello, self._take_hello
+        )
+        self.desk = BudgetDesk(self.book, self.keeper, self.peers, self.store, self.log)
+        self.pool = ClientPool(loop)
+        self.services = Services(
+            loop=loop,
+            log=self.log,
+            metrics=Metrics(),
+            settings=settings,
+            random=self._random,
+            configuration=self.configuration,
+            directory=self.directory,
+            placement=self.placement,
+            line=self.line,
+            pool=self.pool,
+            poison=self.poison,
+            book=self.book,
+            desk=self.desk,
+            peers=self.peers,
+        )
+        self._server_watch = ServerWatch(
+            self.store, self.log, self.directory, self._take_servers
+        )
+        self._configuration_watch = ConfigurationWatch(
+            self.store, self.log, self.configuration
+        )
+
+    async def run(self) -> None:
+        """Start, serve until a planned stop is asked for, and stop."""
+        await self._start()
+        await self._stop_requested.wait()
+        await self._drain()
+
+    async def _start(self) -> None:
+        settings = self.settings
+        loop = self._loop
+        loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
+        self._servers.append(
+            await start_inner_server(loop, settings.ready_address, self._answer_ready)
+        )
+        self._servers.append(
+            await start_inner_server(loop, self._inner_address, self._answer_inner)
+        )
+        await self._start_metrics()
+        await self.peers.start(*self._inner_address)
+        for ip, _ in settings.seeds:
+            # Every host's routers listen on the same internal port.
+            self.peers.add_address((ip, settings.internal_ports[0]))
+        self._servers.append(
+            await loop.create_server(
+                lambda: CallerConnection(self, loop),
+                settings.caller_address[0],
+                settings.caller_address[1],
+                backlog=BACKLOG,
+                reuse_address=True,
+            )
+        )
+        for work in (
+            self._configuration_watch.run(),
+            self._server_watch.run(),
+            self.keeper.run(),
+            self.peers.run(),
+            self._sweep(),
+            self._watch_settings(),
+            self._watch_holders(),
+        ):
+            self._tasks.append(loop.create_task(work))
+        self.log.write(
+            "router: started",
+            incarnation=self.incarnation,
+            zone=settings.zone,
+            callers=f"{settings.caller_address[0]}:{settings.caller_address[1]}",
+        )
+
+    async def _start_metrics(self) -> None:
+        address = (self.settings.ip, SHARED_METRICS_PORT)
+        try:
+            server = await start_inner_server(self._loop, address, self._answer_inner)
+        except OSError as error:
+            self.log.write("router: no metrics address", error=str(error))
+            return
+        self._servers.append(server)
+
+    # Callers.
+
+    def get_limits(self) -> Limits:
+        """Return what a caller may send."""
+        current = self.configuration.current
+        return Limits() if current is None else current.limits
+
+    def handle(self, connection: CallerConnection, request: CallerRequest) -> Exchange:
+        """Start to answer a request."""
+        exchange = Exchange(self.services, connection, request)
+        self._exchanges.add(exchange.task)
+        exchange.task.add_done_callback(self._exchanges.discard)
+        return exchange
+
+    def note_opened(self, connection: CallerConnection) -> None:
+        """Take a new connection."""
+        self._callers.add(connection)
+
+    def note_closed(self, connection: CallerConnection) -> None:
+        """Take it that a connection has ended."""
+        self._callers.discard(connection)
+
+    def note_refused(self, request_id: str | None, refusal: Refusal) -> None:
+        """Take it that a request was refused before it was handled."""
+        self.log.write(
+            "request: refused unread",
+            request=request_id,
+            code=refusal.label,
+            detail=refusal.detail,
+        )
+
+    # Questions.
+
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return (
+            not self.is_draining
+            and self.configuration.current is not None
+            and len(self.directory) > 0
+        )
+
+    def _answer_ready(self, path: str) -> tuple[int, bytes]:
+        return (200, b"ready") if self.is_ready() else (503, b"not ready")
+
+    def _answer_inner(self, path: str) -> tuple[int, bytes]:
+        if path == METRICS_PATH:
+            self._set_gauges()
+            return 200, self.services.metrics.render()
+        current = self.configuration.current
+        if path == CONFIGURATION_PATH and current is not None:
+            return 200, current.encoded
+        return 404, b""
+
+    def _set_gauges(self) -> None:
+        set_state = self.services.metrics.set_state
+        set_state("config_version", self.configuration.version)
+        set_state("servers", len(self.directory))
+        set_state("store_calls", self.store.calls)
+        set_state("store_failures_in_a_row", self.store.failures_in_a_row)
+        set_state("connections_opened", self.pool.opened)
+        set_state("exchanges", len(self._exchanges))
+        set_state("tokens_reclaimed", self.keeper.reclaimed_tokens)
+        set_state("log_lines_dropped", self.log.dropped)
+
+    # News.
+
+    def _take_configuration(self, configuration: Configuration) -> None:
+        self.book.set_prepaid(
+            {
+                account.name: account.prepaid_tokens
+                for account in configuration.accounts.values()
+                if account.prepaid_tokens is not None
+            }
+        )
+        self.keeper.request_renewal()
+        self.peers.tell()
+
+    def _take_servers(self) -> None:
+        self.placement.forget(self.directory.list_ids())
+        for service in self.directory.list_services():
+            self.line.note_room(service)
+
+    def _serve_waiters(self) -> None:
+        self.desk.serve_waiters()
+
+    def _make_hello(self) -> Hello:
+        free = {
+            account: self.book.count_spendable(account)
+            for account in self.book.holdings
+        }
+        return Hello(
+            host=self.settings.host,
+            incarnation=self.incarnation,
+            address=f"{self._inner_address[0]}:{self._inner_address[1]}",
+            config_version=self.configuration.version,
+            holder_key=self._key,
+            free={account: count for account, count in free.items() if count > 0},
+            suspects=self.poison.export(),
+            is_leaving=self.is_draining,
+        )
+
+    def _take_hello(self, peer: Peer) -> None:
+        hello = peer.hello
+        self._holder_by_host[hello.host] = hello.holder_key
+        self.poison.take_others(hello.host, hello.suspects)
+        if hello.config_version > self.configuration.version and (
+            self._fetching is None or self._fetching.done()
+        ):
+            self._fetching = self._loop.create_task(self._fetch_configuration(peer))
+
+    async def _fetch_configuration(self, peer: Peer) -> None:
+        """Take a newer configuration from a peer, in case the store is away."""
+        request = b"GET %b HTTP/1.1\r\nHost: router\r\n\r\n" % (
+            CONFIGURATION_PATH.encode()
+        )
+        try:
+            connection = self.pool.take(peer.address)
+            connection = connection or await self.pool.open(peer.address)
+        except ConnectError as error:
+            self.log.write("peers: unreachable", peer=peer.hello.host, error=str(error))
+            return
+        call = Call(self._loop)
+        connection.start(request, call)
+        try:
+            head, body = await call.wait(PEER_CALL_S)
+        except OSError as error:
+            connection.close()
+            self.log.write("peers: no answer", peer=peer.hello.host, error=repr(error))
+            return
+        self.pool.give_back(connection)
+        if head.status == 200:
+            self.configuration.offer(body, peer.hello.host)
+
+    # Regular work.
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            self.pool.sweep()
+            for server_id in self.directory.expire():
+                self.log.write("directory: lapsed server gone", server=server_id)
+            await self.services.probe_unreachable()
+            self.book.check_invariant()
+
+    async def _watch_holders(self) -> None:
+        """Look for processes that died, so that their tokens are not lost."""
+        while True:
+            await asyncio.sleep(MISSED_HELLO_S / 3)
+            now = self._loop.time()
+            for host, peer in list(self.peers.by_host.items()):
+                silent_s = now - peer.heard_at
+                if not MISSED_HELLO_S < silent_s < 3 * MISSED_HELLO_S:
+                    continue
+                if peer.hello.holder_key in self._suspected:
+                    continue
+                self._suspected[peer.hello.holder_key] = now
+                self._loop.create_task(self._check_dead(host, peer))
+
+    async def _check_dead(self, host: str, peer: Peer) -> None:
+        """Note a process as dead whose listener is proved to be gone."""
+        try:
+            connection = await self.pool.open(peer.address)
+        except ConnectError as error:
+            is_refused = str(error) == "refused"
+        else:
+            self.pool.give_back(connection)
+            is_refused = False
+        if not is_refused or peer.hello.is_leaving:
+            self.log.write("peers: silent", peer=host, refused=is_refused)
+            return
+        dead_at = read_clock()
+        try:
+            holders = await self.keeper.read_holders()
+        except StoreError as error:
+            self.log.write("budget: holders unread", peer=host, error=str(error))
+            return
+        found = holders.get(peer.hello.holder_key)
+        if found is None:
+            return
+        dead_by_s = self.store.clock.read_latest(dead_at)
+        self.log.write("peers: dead", peer=host, dead_by_s=dead_by_s)
+        self.keeper.note_dead(peer.hello.holder_key, found[0], found[1], dead_by_s)
+
+    async def _watch_settings(self) -> None:
+        while True:
+            await asyncio.sleep(SETTINGS_CHECK_S)
+            self._reload_settings()
+
+    def _reload_settings(self) -> None:
+        try:
+            text = _read_text(self._settings_path)
+            if text == self._settings_text:
+                return
+            settings = decode_settings(text)
+        except (OSError, ValueError) as error:
+            self.log.write("settings: unreadable", error=str(error))
+            return
+        self._settings_text = text
+        self.settings = settings
+        self.services.settings = settings
+        self.store.settings = settings
+        for ip, _ in settings.seeds:
+            self.peers.add_address((ip, settings.internal_ports[0]))
+        self.log.write("settings: reloaded")
+
+    # Stop.
+
+    async def _drain(self) -> None:
+        """Let requests end, give tokens back and leave before the platform kills."""
+        started_at = self._loop.time()
+        kill_at = started_at + self.settings.bounds.grace_s - EXIT_MARGIN_S
+        self.is_draining = True
+        self.log.write("router: draining", exchanges=len(self._exchanges))
+        self.peers.tell()
+        while self._loop.time() < kill_at:
+            elapsed_s = self._loop.time() - started_at
+            is_idle = all(caller.is_idle for caller in self._callers)
+            if elapsed_s > LEAVING_NOTICE_S and is_idle and not self._exchanges:
+                break
+            await asyncio.sleep(0.05)
+        for caller in list(self._callers):
+            if caller.is_idle:
+                caller.close()
+        for server in self._servers:
+            server.close()
+        await self._give_back()
+        self.log.write("router: stopped", cut=len(self._exchanges))
+        self.log.flush()
+
+    async def _give_back(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        try:
+            async with asyncio.timeout(EXIT_MARGIN_S - 0.1):
+                if await self.keeper.give_back():
+                    return
+                for account in list(self.book.holdings):
+                    tokens = self.book.take_all(account)
+                    if tokens:
+                        await self.peers.give_away(account, tokens)
+        except TimeoutError:
+            self.log.write("budget: tokens not given back in time")
+
+
+def _read_text(path: str) -> str:
+    with open(path, encoding="utf-8") as file:
+        return file.read()
+
+
+def main() -> None:
+    """Run one router process until it is stopped."""
+    path = os.environ[SETTINGS_PATH_VARIABLE]
+
+    async def run() -> None:
+        await Application(asyncio.get_running_loop(), path).run()
+
+    uvloop.run(run())
--- /dev/null
+++ b/bronzesail/router/budget.py
@@ -0,0 +1,430 @@
+"""Budgets as one router process holds them: a core without input and output.
+
+A row of the store says for each client account how many tokens are handed out to
+router processes (`out`). A process takes tokens ahead of demand, spends them without
+asking anybody, and passes them on to other processes. A second row, one for each
+process, says how many tokens it holds and a limit below which it keeps its spending
+(`limit`), renewed ahead of demand with a time stamp. What a dead process had not spent
+goes back to the account: holding less limit, if it died within `LEASE_S` of the stamp.
+Only a process whose row is older than `LEASE_S` spends past the limit, up to what it
+holds; then a death costs what it held.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+__all__ = [
+    "LEASE_S",
+    "AccountRow",
+    "Attempt",
+    "BudgetBook",
+    "HolderRow",
+    "Holding",
+    "reclaim",
+]
+
+LEASE_S = 2.5  # A killed process is back and dates its start within 2 s.
+LIMIT_AHEAD_S = 5.0  # LEASE_S, one renewal period, and room for a burst.
+HOLD_AHEAD_S = 14.0  # The longest absence of the store on the sheets is 9 s.
+REFILL_BELOW_S = 10.0  # Refills come every 4 s, so that rows rarely conflict.
+DEMAND_WINDOW_S = 4.0  # Decay of the demand's average; the traffic waves in 11 s.
+FIRST_SHARE = 0.25  # Of an account's tokens, handed out before any demand is seen.
+SCARCE_SHARE = 0.25  # Below this share left in the store, surplus goes back.
+OWN_AHEAD_S = 2.0  # Demand that a router keeps tokens for when others ask.
+SPENDABLE_SHARE = 0.5  # Of what the store has left, the most that one refill takes.
+
+
+class AccountRow(msgspec.Struct):
+    """The store's row of one client account."""
+
+    out: int
+
+
+class HolderRow(msgspec.Struct):
+    """The store's row of one router process."""
+
+    host: str
+    address: str
+    started_s: float  # By the store's clock.
+    stamp_s: float  # By the store's clock, when the row was written at the latest.
+    sequence: int
+    held: dict[str, tuple[int, int]]  # Account to tokens held and spending limit.
+
+
+@attrs.define(kw_only=True)
+class Holding:
+    """What this process holds of one account."""
+
+    granted: int = 0
+    received: int = 0
+    passed: int = 0
+    settled: int = 0
+    reserved: int = 0
+    limit: int = 0
+    demand_per_s: float = 0.0
+    largest: float = 0.0
+    out: int = 0
+    version: int = 0
+    wanted: int = 0
+
+    @property
+    def held(self) -> int:
+        """Tokens held so far, spent ones included."""
+        return self.granted + self.received
+
+    @property
+    def spent(self) -> int:
+        """Tokens spent, reserved or passed on."""
+        return self.passed + self.settled + self.reserved
+
+    @property
+    def free(self) -> int:
+        """Tokens held and not spent, whatever the limit says."""
+        return self.held - self.spent
+
+
+@attrs.define(kw_only=True)
+class Attempt:
+    """One transaction on this process's row, until its outcome is known."""
+
+    base_version: int
+    row: HolderRow
+    grants: dict[str, int]  # Signed: negative where tokens go back.
+    accounts: dict[str, tuple[int, int]]  # Expected version and new `out`.
+    stamped_at: float
+    is_final: bool = False
+
+
+class BudgetBook:
+    """All budgets of one router process.
+
+    Parameters
+    ----------
+    host : str
+        Name of the host.
+    address : str
+        Where other routers reach this one.
+    now : callable
+        Seconds on a clock that also counts while the machine is suspended.
+    """
+
+    def __init__(self, host: str, address: str, now: Callable[[], float]) -> None:
+        self.host = host
+        self._address = address
+        self._now = now
+        self.prepaid: dict[str, int] = {}
+        self.holdings: dict[str, Holding] = {}
+        self.row_version = 0
+        self.started_s: float | None = None
+        self._sequence = 0
+        self._unresolved: list[Attempt] = []
+        self._stamp_s = 0.0
+        self._stamped_at = now()  # When `_stamp_s` was read.
+        self._acknowledged_at = now()  # When the stamp of the known row was read.
+        self._faded_at = now()
+        self.is_closed = False
+
+    def set_prepaid(self, prepaid: dict[str, int]) -> None:
+        """Take the prepaid tokens of a new configuration."""
+        self.prepaid = prepaid
+
+    def is_past_lease(self) -> bool:
+        """Whether this process may spend past the limits of its row."""
+        newest = self._acknowledged_at
+        for attempt in self._unresolved:
+            newest = max(newest, attempt.stamped_at)
+        return self._now() - newest > LEASE_S
+
+    def count_spendable(self, account: str) -> int:
+        """Return how many tokens can be reserved now."""
+        holding = self.holdings.get(account)
+        if holding is None or self.is_closed:
+            return 0
+        if self.is_past_lease():
+            return holding.free
+        return min(holding.free, holding.limit - holding.spent)
+
+    def reserve(self, account: str, tokens: int) -> bool:
+        """Set `tokens` aside for a request; tell whether there were enough."""
+        self.note_demand(account, tokens)
+        return self.try_reserve(account, tokens)
+
+    def note_demand(self, account: str, tokens: int) -> None:
+        """Count a request towards the demand that refills follow."""
+        self.fade_demand()
+        holding = self.get_holding(account)
+        holding.demand_per_s += tokens / DEMAND_WINDOW_S
+        holding.largest = max(holding.largest, tokens)
+
+    def try_reserve(self, account: str, tokens: int) -> bool:
+        """Set `tokens` aside without counting demand."""
+        if self.count_spendable(account) < tokens:
+            return False
+        self.get_holding(account).reserved += tokens
+        return True
+
+    def settle(self, account: str, reserved: int, used: int) -> None:
+        """Replace a reservation by what the request used, at most the reservation."""
+        holding = self.get_holding(account)
+        used = min(used, reserved)
+        holding.reserved -= reserved
+        holding.settled += used
+        if used < reserved:
+            # Demand is counted at the most; what was not used is taken off again.
+            surplus = (reserved - used) / DEMAND_WINDOW_S
+            holding.demand_per_s = max(0.0, holding.demand_per_s - surplus * 0.5)
+
+    def pass_on(self, account: str, want: int) -> int:
+        """Give up to `want` tokens to another router; return how many."""
+        holding = self.holdings.get(account)
+        if holding is None or want <= 0:
+            return 0
+        self.fade_demand()
+        spendable = self.count_spendable(account)
+        own = int(min(holding.demand_per_s * OWN_AHEAD_S, spendable / 2))
+        given = max(0, min(want, spendable - own))
+        holding.passed += given
+        return given
+
+    def take_all(self, account: str) -> int:
+        """Take out all that can be passed on, before this process ends."""
+        holding = self.get_holding(account)
+        tokens = max(0, self.count_spendable(account))
+        holding.passed += tokens
+        return tokens
+
+    def receive(self, account: str, tokens: int) -> None:
+        """Take tokens that another router passed on."""
+        holding = self.get_holding(account)
+        holding.received += tokens
+        # Tokens that the row does not show yet are lost with this process, so they
+        # may be spent at once.
+        holding.limit += tokens
+
+    def fade_demand(self) -> None:
+        """Let the demand's average decay to now."""
+        now = self._now()
+        elapsed = now - self._faded_at
+        if elapsed < 0.05:
+            return
+        self._faded_at = now
+        factor = max(0.0, 1 - elapsed / DEMAND_WINDOW_S)
+        for holding in self.holdings.values():
+            holding.demand_per_s *= factor
+            holding.largest *= 1 - (1 - factor) * 0.2
+
+    def see_account(self, account: str, out: int, version: int) -> None:
+        """Take the store's row of an account, unless a newer one is known."""
+        holding = self.get_holding(account)
+        if version >= holding.version:
+            holding.out = out
+            holding.version = version
+
+    def left_in_store(self, account: str) -> int:
+        """Return how many tokens the store has left to hand out, as last seen."""
+        return self.prepaid.get(account, 0) - self.get_holding(account).out
+
+    def plan(self, clock_s: float, hosts: int) -> Attempt:
+        """Return the next transaction.
+
+        Parameters
+        ----------
+        clock_s : float
+            The store's clock, at the latest.
+        hosts : int
+            How many routers share the budgets.
+        """
+        self.fade_demand()
+        if self.started_s is None:
+            self.started_s = clock_s
+        if not self._unresolved:
+            # A failed attempt may still take effect: until one is known to have, the
+            # stamp stays, so that no row ever shows a lease past its end.
+            self._stamp_s = clock_s
+            self._stamped_at = self._now()
+        accounts: dict[str, tuple[int, int]] = {}
+        grants: dict[str, int] = {}
+        held: dict[str, tuple[int, int]] = {}
+        for account, prepaid in self.prepaid.items():
+            holding = self.get_holding(account)
+            change = self._plan_change(holding, prepaid, hosts)
+            if change:
+                grants[account] = change
+                accounts[account] = (holding.version, holding.out + change)
+            total = holding.held + change
+            limit = self._plan_limit(holding, total)
+            if total or limit:
+                held[account] = (total, limit)
+        return self._make_attempt(grants, accounts, held, is_final=False)
+
+    def plan_return(self) -> Attempt:
+        """Return the transaction that gives everything back that is not spent."""
+        accounts: dict[str, tuple[int, int]] = {}
+        grants: dict[str, int] = {}
+        for account, holding in self.holdings.items():
+            if holding.free <= 0:
+                continue
+            grants[account] = -holding.free
+            accounts[account] = (holding.version, holding.out - holding.free)
+        return self._make_attempt(grants, accounts, {}, is_final=True)
+
+    def _make_attempt(
+        self,
+        grants: dict[str, int],
+        accounts: dict[str, tuple[int, int]],
+        held: dict[str, tuple[int, int]],
+        *,
+        is_final: bool,
+    ) -> Attempt:
+        self._sequence += 1
+        row = HolderRow(
+            host=self.host,
+            address=self._address,
+            started_s=self.started_s or 0.0,
+            stamp_s=self._stamp_s,
+            sequence=self._sequence,
+            held=held,
+        )
+        attempt = Attempt(
+            base_version=self.row_version,
+            row=row,
+            grants=grants,
+            accounts=accounts,
+            stamped_at=self._stamped_at,
+            is_final=is_final,
+        )
+        # Tokens on their way back are out of reach from now on.
+        for account, change in grants.items():
+            if change < 0:
+                self.get_holding(account).granted += change
+        self._unresolved.append(attempt)
+        return attempt
+
+    def _plan_change(self, holding: Holding, prepaid: int, hosts: int) -> int:
+        left = prepaid - holding.out
+        if left < 0:
+            # The prepaid amount was cut below what is handed out.
+            return -min(-left, max(0, holding.free))
+        demand = holding.demand_per_s
+        first = int(prepaid * FIRST_SHARE / max(hosts, 1))
+        floor = max(first if holding.settled == 0 else 0, int(holding.largest))
+        target = max(int(demand * HOLD_AHEAD_S), floor, holding.wanted)
+        if left < prepaid * SCARCE_SHARE and holding.free > 2 * target:
+            return -(holding.free - target)
+        below = max(int(demand * REFILL_BELOW_S), floor // 2, holding.wanted)
+        if holding.free >= below:
+            return 0
+        most = max(int(left * SPENDABLE_SHARE), min(left, holding.wanted))
+        return max(0, min(target - holding.free, most))
+
+    def _plan_limit(self, holding: Holding, total: int) -> int:
+        ahead = max(
+            int(holding.demand_per_s * LIMIT_AHEAD_S),
+            int(holding.largest * 2),
+            holding.wanted,
+            total // 3 if holding.settled == 0 else 0,
+        )
+        return max(holding.limit, min(total, holding.spent + ahead))
+
+    def apply(self, attempt: Attempt, version: int) -> None:
+        """Take the effect of an attempt that is known to have been carried out."""
+        for account, change in attempt.grants.items():
+            holding = self.get_holding(account)
+            if change > 0:
+                holding.granted += change
+            if version >= holding.version:
+                holding.version = version
+                holding.out = attempt.accounts[account][1]
+        for account, (_, limit) in attempt.row.held.items():
+            holding = self.get_holding(account)
+            holding.limit = max(holding.limit, limit)
+        self._undo(other for other in self._unresolved if other is not attempt)
+        self._unresolved.clear()
+        self.row_version = version
+        self._acknowledged_at = attempt.stamped_at
+
+    def reject(self, attempt: Attempt) -> None:
+        """Forget an attempt that is known to have done nothing and never will."""
+        if attempt not in self._unresolved:
+            return
+        self._unresolved.remove(attempt)
+        self._undo([attempt])
+
+    def _undo(self, attempts: Iterable[Attempt]) -> None:
+        for attempt in attempts:
+            for account, change in attempt.grants.items():
+                if change < 0:
+                    self.get_holding(account).granted -= change
+
+    def see_own_row(self, row: HolderRow | None, version: int) -> bool:
+        """Compare this process's row with the attempts whose outcome is unknown.
+
+        Returns
+        -------
+        bool
+            False if another router has closed this process's row.
+        """
+        if version == self.row_version:
+            return True
+        for attempt in self._unresolved:
+            if row is not None and row.sequence == attempt.row.sequence:
+                self.apply(attempt, version)
+                return True
+        self.is_closed = True
+        return False
+
+    def start_over(self) -> None:
+        """Hold nothing, after another router has closed this process's row.
+
+        Requests in progress settle against what was held; it is not spent again.
+        """
+        for holding in self.holdings.values():
+            holding.granted -= max(0, holding.free)
+            holding.limit = holding.spent
+        self._unresolved.clear()
+        self.row_version = 0
+        self.is_closed = False
+
+    @property
+    def has_unresolved(self) -> bool:
+        """Whether the outcome of some attempt is unknown."""
+        return bool(self._unresolved)
+
+    def check_invariant(self) -> None:
+        """Assert that no account is spent past what is held."""
+        for account, holding in self.holdings.items():
+            if holding.spent > holding.held:
+                raise AssertionError(f"budget of {account} is overspent: {holding}")
+
+    def get_holding(self, account: str) -> Holding:
+        """Return what is held of an account, an empty holding at first."""
+        holding = self.holdings.get(account)
+        if holding is None:
+            holding = self.holdings[account] = Holding()
+        return holding
+
+
+def reclaim(row: HolderRow, dead_by_s: float) -> dict[str, int]:
+    """Return the tokens that a dead process did not spend, for each account.
+
+    Parameters
+    ----------
+    row : HolderRow
+        The dead process's row.
+    dead_by_s : float
+        When it was known to be dead, on the store's clock.
+    """
+    if dead_by_s > row.stamp_s + LEASE_S:
+        return {}
+    return {
+        account: held - limit
+        for account, (held, limit) in row.held.items()
+        if held > limit
+    }
--- /dev/null
+++ b/bronzesail/router/budget_desk.py
@@ -0,0 +1,171 @@
+"""Reserves tokens for requests, and lets them wait for tokens on their way."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import TYPE_CHECKING
+
+import attrs
+
+from ..errors import Refusal, ResultCode
+
+if TYPE_CHECKING:
+    from .budget import BudgetBook
+    from .budget_keeper import BudgetKeeper
+    from .log import Log
+    from .peers import Peers
+    from .store import StoreClient
+
+__all__ = ["BudgetDesk"]
+
+ASK_AGAIN_S = 0.15  # Peers tell what they hold every 0.4 s.
+RETRY_AFTER_S = 1.0  # The store's absences last seconds.
+MAX_WAIT_S = 2.5  # Tokens that have not come by then are not on their way.
+
+
+@attrs.define
+class _Waiter:
+    tokens: int
+    future: asyncio.Future[bool]
+
+
+class BudgetDesk:
+    """Hands out reservations.
+
+    Parameters
+    ----------
+    book, keeper, peers, store, log
+        The budgets, their keeper, the other routers, the store and the log.
+    """
+
+    def __init__(
+        self,
+        book: BudgetBook,
+        keeper: BudgetKeeper,
+        peers: Peers,
+        store: StoreClient,
+        log: Log,
+    ) -> None:
+        self._book = book
+        self._keeper = keeper
+        self._peers = peers
+        self._store = store
+        self._log = log
+        self._waiters: dict[str, deque[_Waiter]] = {}
+        self._obtaining: dict[str, asyncio.Task[None]] = {}
+
+    async def reserve(
+        self, account: str, tokens: int, max_wait_s: float
+    ) -> Refusal | None:
+        """Reserve tokens; return a refusal where they cannot be had in time."""
+        is_first = not self._waiters.get(account)
+        self._book.note_demand(account, tokens)
+        if is_first and self._book.try_reserve(account, tokens):
+            self._renew_early(account)
+            return None
+        refusal = self._judge(account, tokens)
+        if refusal is not None:
+            return refusal
+        future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        waiter = _Waiter(tokens, future)
+        self._waiters.setdefault(account, deque()).append(waiter)
+        self._start_obtaining(account)
+        try:
+            async with asyncio.timeout(min(max_wait_s, MAX_WAIT_S)):
+                if await future:
+                    return None
+        except TimeoutError:
+            pass
+        finally:
+            self._leave(account, waiter)
+        return self._judge(account, tokens) or self._refuse_unreachable()
+
+    def serve_waiters(self) -> None:
+        """Reserve for the requests that wait, in their order, where they fit."""
+        for account, waiters in list(self._waiters.items()):
+            for waiter in list(waiters):
+                if waiter.future.done():
+                    continue
+                if self._book.try_reserve(account, waiter.tokens):
+                    waiter.future.set_result(True)
+
+    def _leave(self, account: str, waiter: _Waiter) -> None:
+        waiters = self._waiters[account]
+        if waiter in waiters:
+            waiters.remove(waiter)
+        if not waiters:
+            del self._waiters[account]
+            self._book.get_holding(account).wanted = 0
+        is_granted = waiter.future.done() and not waiter.future.cancelled()
+        if is_granted and asyncio.current_task() is not None:
+            task = asyncio.current_task()
+            assert task is not None
+            if task.cancelling():
+                # The caller left while its tokens arrived.
+                self._book.settle(account, waiter.tokens, 0)
+
+    def _judge(self, account: str, tokens: int) -> Refusal | None:
+        """Return the refusal of a request that nobody has the tokens for."""
+        if not self._is_known(account):
+            return None
+        holding = self._book.get_holding(account)
+        reachable = max(0, self._book.left_in_store(account)) + max(0, holding.free)
+        reachable += self._peers.count_free(account)
+        if reachable >= tokens:
+            return None
+        self._log.write(
+            "budget: exhausted",
+            account=account,
+            tokens=tokens,
+            reachable=reachable,
+            left_in_store=self._book.left_in_store(account),
+            free=holding.free,
+        )
+        return Refusal(ResultCode.BUDGET_EXHAUSTED, is_not_run=True)
+
+    def _is_known(self, account: str) -> bool:
+        """Whether the store's row of the account was seen a moment ago."""
+        return self._keeper.has_loaded and self._keeper.is_in_step
+
+    @staticmethod
+    def _refuse_unreachable() -> Refusal:
+        return Refusal(
+            ResultCode.BUDGET_UNREACHABLE, is_not_run=True, retry_after_s=RETRY_AFTER_S
+        )
+
+    def _renew_early(self, account: str) -> None:
+        holding = self._book.get_holding(account)
+        if self._book.count_spendable(account) < holding.largest:
+            self._keeper.request_renewal()
+
+    def _start_obtaining(self, account: str) -> None:
+        if account in self._obtaining:
+            return
+        task = asyncio.create_task(self._obtain(account))
+        self._obtaining[account] = task
+        task.add_done_callback(lambda _: self._obtaining.pop(account, None))
+
+    async def _obtain(self, account: str) -> None:
+        """Bring tokens in while requests wait for them."""
+        while True:
+            waiters = [w for w in self._waiters.get(account, ()) if not w.future.done()]
+            if not waiters:
+                return
+            need = sum(waiter.tokens for waiter in waiters)
+            holding = self._book.get_holding(account)
+            spendable = max(0, self._book.count_spendable(account))
+            shortage = need - spendable
+            holding.wanted = need
+            if self._keeper.is_in_step and (
+                self._book.left_in_store(account) > 0 or holding.free >= need
+            ):
+                self._keeper.request_renewal()
+                await asyncio.sleep(ASK_AGAIN_S)
+            elif shortage > 0:
+                got = await self._peers.obtain(account, shortage, holding.demand_per_s)
+                if not got:
+                    self._keeper.request_renewal()
+                    await asyncio.sleep(ASK_AGAIN_S)
+            self.serve_waiters()
+            await asyncio.sleep(0)
--- /dev/null
+++ b/bronzesail/router/budget_keeper.py
@@ -0,0 +1,285 @@
+"""Keeps this process's budgets in step with the store."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+
+from ..model import RowCheck, RowKey, RowWrite
+from .budget import AccountRow, Attempt, BudgetBook, HolderRow, reclaim
+from .clocks import read_clock
+from .store import ConflictError, StoreError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..model import Row
+    from .log import Log
+    from .store import StoreClient
+
+__all__ = ["ACCOUNT_TABLE", "HOLDER_TABLE", "PART", "BudgetKeeper"]
+
+ACCOUNT_TABLE = "accounts"
+HOLDER_TABLE = "holders"
+PART = "budget"  # One part, since a transaction spans one part only.
+RENEWAL_S = 0.7  # Several within the lease of 2.5 s, also after one lost answer.
+URGENT_GAP_S = 0.03  # Between two renewals that requests wait for.
+MAX_CONFLICTS = 4  # Immediate retries after a conflict with another router.
+RETRY_S = 0.3  # Between calls to a store that does not answer.
+
+
+@attrs.define
+class _Dead:
+    key: str
+    row: HolderRow
+    version: int
+    dead_by_s: float
+
+
+class BudgetKeeper:
+    """Renews this process's row, refills holdings and reclaims dead processes' tokens.
+
+    Parameters
+    ----------
+    book : BudgetBook
+        The budgets.
+    store : StoreClient
+        The store.
+    log : Log
+        Where decisions are written.
+    key : str
+        This process's key in the table of holders.
+    on_change : callable
+        Called after tokens may have arrived.
+    """
+
+    def __init__(
+        self,
+        book: BudgetBook,
+        store: StoreClient,
+        log: Log,
+        key: str,
+        on_change: Callable[[], None],
+    ) -> None:
+        self.book = book
+        self._store = store
+        self._log = log
+        self._key = key
+        self._on_change = on_change
+        self._wanted = asyncio.Event()
+        self._dead: dict[str, _Dead] = {}
+        self.host_count = 1
+        self.has_loaded = False
+        self.is_in_step = False
+        self.reclaimed_tokens = 0
+        self.lost_tokens = 0
+        self._process_started_at = read_clock()
+
+    def request_renewal(self) -> None:
+        """Ask for a renewal now, because a request waits for tokens."""
+        self._wanted.set()
+
+    async def run(self) -> None:
+        """Renew until cancelled."""
+        while not await self._load():
+            await asyncio.sleep(RETRY_S)
+        while True:
+            done = await self.renew()
+            if done:
+                await self._reclaim_dead()
+            gap_s = URGENT_GAP_S if done else RETRY_S
+            await asyncio.sleep(gap_s)
+            try:
+                async with asyncio.timeout(RENEWAL_S - gap_s):
+                    await self._wanted.wait()
+            except TimeoutError:
+                pass
+            self._wanted.clear()
+
+    def note_dead(
+        self, key: str, row: HolderRow, version: int, dead_by_s: float
+    ) -> None:
+        """Take it that a process was dead at a time on the store's clock."""
+        self._dead.setdefault(key, _Dead(key, row, version, dead_by_s))
+
+    async def read_holders(self) -> dict[str, tuple[HolderRow, int]]:
+        """Return the rows of all processes, by key, with their versions.
+
+        Raises
+        ------
+        StoreError
+            If the store does not answer.
+        """
+        answer = await self._store.read_table(HOLDER_TABLE, PART)
+        holders = {}
+        for row in answer.rows:
+            try:
+                holder = msgspec.json.decode(row.value, type=HolderRow)
+            except msgspec.DecodeError as error:
+                self._log.write("budget: row unreadable", key=row.key, error=str(error))
+                continue
+            holders[row.key] = (holder, row.version)
+        self.host_count = max(1, len({holder.host for holder, _ in holders.values()}))
+        return holders
+
+    async def _load(self) -> bool:
+        try:
+            accounts = await self._store.read_table(ACCOUNT_TABLE, PART)
+            holders = await self.read_holders()
+        except StoreError as error:
+            self._log.write("budget: store does not answer", error=str(error))
+            return False
+        for row in accounts.rows:
+            self._see_account(row)
+        clock = self._store.clock
+        started_s = clock.read_latest(self._process_started_at)
+        self.book.started_s = started_s
+        for key, (holder, version) in holders.items():
+            if holder.host != self.book.host or key == self._key:
+                continue
+            # Another process of this host was dead before this one started.
+            self._dead[key] = _Dead(key, holder, version, started_s)
+        self.has_loaded = True
+        await self._reclaim_dead()
+        return True
+
+    async def renew(self) -> bool:
+        """Carry out one transaction on this process's row; tell whether it worked."""
+        for _ in range(MAX_CONFLICTS):
+            now = read_clock()
+            clock_s = self._store.clock.read_earliest(now)
+            attempt = self.book.plan(clock_s, self.host_count)
+            outcome = await self._transact(attempt)
+            if outcome is not None:
+                if outcome != self.is_in_step:
+                    self.is_in_step = outcome
+                    state = "regained" if outcome else "lost"
+                    self._log.write(f"budget: store {state}")
+                self._on_change()
+                return outcome
+        return True
+
+    async def give_back(self) -> bool:
+        """Return all tokens that are not spent, at a planned stop."""
+        for _ in range(MAX_CONFLICTS):
+            outcome = await self._transact(self.book.plan_return())
+            if outcome is not None:
+                return outcome
+        return False
+
+    async def _transact(self, attempt: Attempt) -> bool | None:
+        """Return whether it worked, or None after a conflict."""
+        own = RowKey(HOLDER_TABLE, PART, self._key)
+        checks = [RowCheck(own, attempt.base_version)]
+        writes: list[RowWrite] = []
+        removals: list[RowKey] = []
+        if not attempt.is_final:
+            writes.append(RowWrite(own, msgspec.json.encode(attempt.row)))
+        elif attempt.base_version:
+            removals.append(own)
+        for account, (version, out) in attempt.accounts.items():
+            key = RowKey(ACCOUNT_TABLE, PART, account)
+            checks.append(RowCheck(key, version))
+            writes.append(RowWrite(key, msgspec.json.encode(AccountRow(out=out))))
+        try:
+            version = await self._store.transact(checks, writes, removals)
+        except ConflictError as error:
+            self._take_conflict(attempt, error.rows)
+            return None
+        except StoreError as error:
+            if not error.is_unknown:
+                self.book.reject(attempt)
+            return False
+        self.book.apply(attempt, version)
+        if attempt.grants:
+            self._log.write(
+                "budget: tokens moved", changes=attempt.grants, version=version
+            )
+        return True
+
+    def _take_conflict(self, attempt: Attempt, rows: list[Row]) -> None:
+        is_own_row_seen = False
+        for row in rows:
+            if row.table == ACCOUNT_TABLE:
+                self._see_account(row)
+            elif row.key == self._key and not row.is_removed and row.version:
+                is_own_row_seen = True
+                self._see_own_row(row)
+        if not is_own_row_seen and attempt.base_version:
+            self.book.see_own_row(None, -1)
+        self.book.reject(attempt)
+        if self.book.is_closed:
+            self._log.write("budget: row closed by another router", key=self._key)
+            self.book.start_over()
+
+    def _see_own_row(self, row: Row) -> None:
+        try:
+            holder = msgspec.json.decode(row.value, type=HolderRow)
+        except msgspec.DecodeError as error:
+            self._log.write("budget: own row unreadable", error=str(error))
+            return
+        self.book.see_own_row(holder, row.version)
+
+    def _see_account(self, row: Row) -> None:
+        if row.is_removed or not row.version:
+            return
+        try:
+            account = msgspec.json.decode(row.value, type=AccountRow)
+        except msgspec.DecodeError as error:
+            self._log.write("budget: row unreadable", key=row.key, error=str(error))
+            return
+        self.book.see_account(row.key, account.out, row.version)
+
+    async def _reclaim_dead(self) -> None:
+        for dead in list(self._dead.values()):
+            try:
+                await self._reclaim(dead)
+            except StoreError as error:
+                self._log.write(
+                    "budget: reclaim failed", key=dead.key, error=str(error)
+                )
+                return
+
+    async def _reclaim(self, dead: _Dead) -> None:
+        tokens = reclaim(dead.row, dead.dead_by_s)
+        own = RowKey(HOLDER_TABLE, PART, dead.key)
+        for _ in range(MAX_CONFLICTS):
+            checks = [RowCheck(own, dead.version)]
+            writes = []
+            outs = {}
+            for account, count in tokens.items():
+                holding = self.book.get_holding(account)
+                key = RowKey(ACCOUNT_TABLE, PART, account)
+                outs[account] = holding.out - count
+                checks.append(RowCheck(key, holding.version))
+                value = msgspec.json.encode(AccountRow(out=outs[account]))
+                writes.append(RowWrite(key, value))
+            try:
+                version = await self._store.transact(checks, writes, [own])
+            except ConflictError as error:
+                if self._is_reclaimed(dead, error.rows):
+                    break
+                continue
+            for account, out in outs.items():
+                self.book.see_account(account, out, version)
+            total = sum(tokens.values())
+            held = sum(held for held, _ in dead.row.held.values())
+            self.reclaimed_tokens += total
+            self._log.write(
+                "budget: tokens reclaimed", key=dead.key, tokens=total, held=held,
+                stamp_s=dead.row.stamp_s, dead_by_s=dead.dead_by_s,
+            )  # fmt: skip
+            break
+        self._dead.pop(dead.key, None)
+
+    def _is_reclaimed(self, dead: _Dead, rows: list[Row]) -> bool:
+        is_there = False
+        for row in rows:
+            if row.table == ACCOUNT_TABLE:
+                self._see_account(row)
+            elif row.key == dead.key and not row.is_removed:
+                is_there = row.version == dead.version
+        return not is_there
--- /dev/null
+++ b/bronzesail/router/metrics.py
@@ -0,0 +1,48 @@
+"""Counters and latency histograms of one router."""
+
+from __future__ import annotations
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+__all__ = ["Metrics"]
+
+LATENCY_BUCKETS_S = (0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0, float("inf"))
+
+
+class Metrics:
+    """Metrics in a registry of their own."""
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self.requests = Counter(
+            "bronzesail_requests_total",
+            "Requests by route, client account and outcome.",
+            registry=self._registry,
+        )
+        self.duration_s = Histogram(
+            "bronzesail_request_seconds",
+            "Time to the end of the answer, by route, in seconds.",
+            registry=self._registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+        self.gauges = Gauge(
+            "bronzesail_state",
+            "Figures of the router by name.",
+            registry=self._registry,
+        )
+
+    def count_request(
+        self, route: str, account: str, outcome: str, took_s: float
+    ) -> None:
+        """Count a request that has ended."""
+        self.requests.inc({"route": route, "account": account, "outcome": outcome})
+        self.duration_s.observe({"route": route}, took_s)
+
+    def set_state(self, name: str, value: float) -> None:
+        """Set one of the router's figures."""
+        self.gauges.set({"name": name}, value)
+
+    def render(self) -> bytes:
+        """Return all metrics as text."""
+        content, _ = render(self._registry, ["text/plain"])
+        return bytes(content)
--- /dev/null
+++ b/bronzesail/router/peers.py
@@ -0,0 +1,300 @@
+"""What routers tell each other, in datagrams: who is there, and tokens passed on.
+
+A datagram needs no connection that could go silent. A transfer carries an id: the
+giver answers a repeated question with the same gift, and a lost answer loses the
+tokens, never doubles them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .budget import BudgetBook
+    from .log import Log
+
+__all__ = ["Ask", "Gift", "GiftTaken", "Hello", "Peer", "Peers"]
+
+HELLO_S = 0.4  # News within half a second; 300 bytes each.
+FORGET_S = 1.5  # A peer unheard for this long is not asked for tokens.
+DROP_S = 30.0  # A peer unheard for this long gets no more news.
+ASK_TIMEOUT_S = 0.2  # 60 ms across regions, and a share of a slowed host.
+MAX_ASKS = 5  # Peers asked for one shortage.
+WANT_AHEAD_S = 2.0  # Demand that a transfer covers beyond the shortage.
+MAX_DATAGRAM = 60_000
+
+
+class Hello(msgspec.Struct, tag="hello"):
+    """A router tells that it is there."""
+
+    host: str
+    incarnation: str
+    address: str
+    config_version: int
+    holder_key: str
+    free: dict[str, int]
+    suspects: dict[str, int]
+    is_leaving: bool = False
+
+
+class Ask(msgspec.Struct, tag="ask"):
+    """A router asks for tokens: at least one, at most `want`."""
+
+    id: str
+    account: str
+    want: int
+
+
+class Gift(msgspec.Struct, tag="gift"):
+    """Tokens passed on; with `ask` empty, unasked for, and to be confirmed."""
+
+    id: str
+    ask: str
+    account: str
+    tokens: int
+
+
+class GiftTaken(msgspec.Struct, tag="taken"):
+    """A gift that was not asked for has arrived."""
+
+    id: str
+
+
+@attrs.define(kw_only=True)
+class Peer:
+    """Another router, as last heard."""
+
+    hello: Hello
+    address: tuple[str, int]
+    heard_at: float
+
+
+class Peers(asyncio.DatagramProtocol):
+    """Link of one router to the others.
+
+    Parameters
+    ----------
+    loop : asyncio.AbstractEventLoop
+        The loop to run on.
+    book : BudgetBook
+        The budgets.
+    log : Log
+        Where decisions are written.
+    make_hello : callable
+        Returns the news to send.
+    on_hello : callable
+        Called with each peer's news.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        book: BudgetBook,
+        log: Log,
+        make_hello: Callable[[], Hello],
+        on_hello: Callable[[Peer], None],
+    ) -> None:
+        self._loop = loop
+        self._book = book
+        self._log = log
+        self._make_hello = make_hello
+        self._on_hello = on_hello
+        self._transport: asyncio.DatagramTransport | None = None
+        self._addresses: set[tuple[str, int]] = set()
+        self._sequence = itertools.count(1)
+        self._asks: dict[str, asyncio.Future[int]] = {}
+        self._given: dict[str, tuple[float, Gift]] = {}
+        self._taken: dict[str, float] = {}
+        self._confirmations: dict[str, asyncio.Future[None]] = {}
+        self._decoder = msgspec.msgpack.Decoder(Hello | Ask | Gift | GiftTaken)
+        self._own_address = ("", 0)
+        self.by_host: dict[str, Peer] = {}
+
+    async def start(self, ip: str, port: int) -> None:
+        """Listen for the other routers' datagrams."""
+        self._own_address = (ip, port)
+        transport, _ = await self._loop.create_datagram_endpoint(
+            lambda: self, local_addr=(ip, port)
+        )
+        self._transport = transport
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def add_address(self, address: tuple[str, int]) -> None:
+        """Tell news to a router that may be at `address`."""
+        if address != self._own_address:
+            self._addresses.add(address)
+
+    async def run(self) -> None:
+        """Tell news until cancelled."""
+        while True:
+            self.tell()
+            self._forget_old()
+            await asyncio.sleep(HELLO_S)
+
+    def tell(self) -> None:
+        """Tell news now."""
+        hello = msgspec.msgpack.encode(self._make_hello())
+        for address in self._addresses:
+            self._send(hello, address)
+
+    def list_live(self) -> list[Peer]:
+        """Return the peers that were heard a short time ago."""
+        now = self._loop.time()
+        return [
+            peer
+            for peer in self.by_host.values()
+            if now - peer.heard_at < FORGET_S and not peer.hello.is_leaving
+        ]
+
+    def count_free(self, account: str) -> int:
+        """Return the tokens that live peers hold, as last told."""
+        return sum(peer.hello.free.get(account, 0) for peer in self.list_live())
+
+    async def obtain(self, account: str, shortage: int, demand_per_s: float) -> int:
+        """Ask peers for tokens until the shortage is covered; return what came."""
+        want = shortage + int(demand_per_s * WANT_AHEAD_S)
+        got = 0
+        peers = [p for p in self.list_live() if p.hello.free.get(account, 0) > 0]
+        peers.sort(key=lambda peer: -peer.hello.free[account])
+        for peer in peers[:MAX_ASKS]:
+            if got >= shortage:
+                break
+            tokens = await self._ask(peer, account, want - got)
+            got += tokens
+            self._log.write(
+                "budget: tokens asked of a peer",
+                account=account,
+                peer=peer.hello.host,
+                want=want - got,
+                got=tokens,
+            )
+        return got
+
+    async def give_away(self, account: str, tokens: int) -> bool:
+        """Pass tokens on to some peer before this process ends."""
+        for peer in self.list_live()[:3]:
+            gift = Gift(self._make_id(), "", account, tokens)
+            confirmation = self._loop.create_future()
+            self._confirmations[gift.id] = confirmation
+            encoded = msgspec.msgpack.encode(gift)
+            for _ in range(3):
+                self._send(encoded, peer.address)
+                try:
+                    async with asyncio.timeout(ASK_TIMEOUT_S):
+                        await asyncio.shield(confirmation)
+                    return True
+                except TimeoutError:
+                    continue
+            # The gift may have arrived: it cannot be given to another.
+            return False
+        return False
+
+    async def _ask(self, peer: Peer, account: str, want: int) -> int:
+        ask = Ask(self._make_id(), account, want)
+        future: asyncio.Future[int] = self._loop.create_future()
+        self._asks[ask.id] = future
+        encoded = msgspec.msgpack.encode(ask)
+        peer.hello.free.pop(account, None)
+        try:
+            for _ in range(2):
+                self._send(encoded, peer.address)
+                try:
+                    async with asyncio.timeout(ASK_TIMEOUT_S):
+                        return await asyncio.shield(future)
+                except TimeoutError:
+                    continue
+            return 0
+        finally:
+            # An answer that comes later is taken in all the same.
+            self._loop.call_later(FORGET_S, self._asks.pop, ask.id, None)
+
+    def _make_id(self) -> str:
+        return f"{self._make_hello().incarnation}:{next(self._sequence)}"
+
+    def _send(self, data: bytes, address: tuple[str, int]) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        if len(data) <= MAX_DATAGRAM:
+            self._transport.sendto(data, address)
+
+    def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
+        """Take one datagram."""
+        try:
+            message = self._decoder.decode(data)
+        except msgspec.DecodeError as error:
+            self._log.write("peers: datagram unreadable", error=str(error))
+            return
+        address = (str(addr[0]), int(addr[1]))
+        if isinstance(message, Hello):
+            self._take_hello(message, address)
+        elif isinstance(message, Ask):
+            self._answer(message, address)
+        elif isinstance(message, Gift):
+            self._take_gift(message, address)
+        else:
+            confirmation = self._confirmations.pop(message.id, None)
+            if confirmation is not None and not confirmation.done():
+                confirmation.set_result(None)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore that a datagram was refused: the peer is found silent."""
+
+    def _take_hello(self, hello: Hello, address: tuple[str, int]) -> None:
+        self.add_address(address)
+        peer = Peer(hello=hello, address=address, heard_at=self._loop.time())
+        before = self.by_host.get(hello.host)
+        if before is None or before.hello.incarnation != hello.incarnation:
+            self._log.write(
+                "peers: heard", peer=hello.host, incarnation=hello.incarnation
+            )
+        self.by_host[hello.host] = peer
+        self._on_hello(peer)
+
+    def _answer(self, ask: Ask, address: tuple[str, int]) -> None:
+        known = self._given.get(ask.id)
+        if known is None:
+            tokens = self._book.pass_on(ask.account, ask.want)
+            gift = Gift(self._make_id(), ask.id, ask.account, tokens)
+            known = self._given[ask.id] = (self._loop.time(), gift)
+            if tokens:
+                self._log.write(
+                    "budget: tokens passed on", account=ask.account, tokens=tokens
+                )
+        self._send(msgspec.msgpack.encode(known[1]), address)
+
+    def _take_gift(self, gift: Gift, address: tuple[str, int]) -> None:
+        if not gift.ask:
+            self._send(msgspec.msgpack.encode(GiftTaken(gift.id)), address)
+        elif gift.ask not in self._asks:
+            return  # Not this process's question.
+        if gift.id in self._taken:
+            return
+        self._taken[gift.id] = self._loop.time()
+        self._book.receive(gift.account, gift.tokens)
+        future = self._asks.get(gift.ask)
+        if future is not None and not future.done():
+            future.set_result(gift.tokens)
+
+    def _forget_old(self) -> None:
+        now = self._loop.time()
+        for host, peer in list(self.by_host.items()):
+            if now - peer.heard_at > DROP_S:
+                del self.by_host[host]
+                self._addresses.discard(peer.address)
+        for key, (at, _) in list(self._given.items()):
+            if now - at > DROP_S:
+                del self._given[key]
+        for key, at in list(self._taken.items()):
+            if now - at > 2 * DROP_S:
+                del self._taken[key]
--- /dev/null
+++ b/bronzesail/router/services.py
@@ -0,0 +1,113 @@
+"""What all requests of a router share."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+import attrs
+
+from ..model import HostSettings
+from .budget import BudgetBook
+from .budget_desk import BudgetDesk
+from .client import ClientPool
+from .directory import Directory
+from .log import Log
+from .metrics import Metrics
+from .peers import Peers
+from .placement import Placement
+from .poison import PoisonList
+from .retry_budget import RetryBudget
+from .waiting import WaitingLine
+from .watches import ConfigurationKeeper
+
+if TYPE_CHECKING:
+    from ..model import BackendServer, ClientAccount, Route
+    from .exchange import Exchange
+
+__all__ = ["Services"]
+
+PROBE_S = 0.7  # Between tries to reach a server that could not be reached.
+
+
+@attrs.define(kw_only=True)
+class Services:
+    """The parts that answer requests, wired by the composition root."""
+
+    loop: asyncio.AbstractEventLoop
+    log: Log
+    metrics: Metrics
+    settings: HostSettings
+    random: random.Random
+    configuration: ConfigurationKeeper
+    directory: Directory
+    placement: Placement
+    line: WaitingLine
+    pool: ClientPool
+    poison: PoisonList
+    book: BudgetBook
+    desk: BudgetDesk
+    peers: Peers
+    _retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
+    _probed_at: dict[str, float] = attrs.field(factory=dict)
+
+    def retry_budget(self, service: str) -> RetryBudget:
+        """Return the retry budget of a service."""
+        budget = self._retry_budgets.get(service)
+        if budget is None:
+            window_s = self.settings.bounds.retry_window_s
+            budget = self._retry_budgets[service] = RetryBudget(
+                self.loop.time, window_s
+            )
+        return budget
+
+    def count_hosts(self) -> int:
+        """Return how many routers share the fleet's limits."""
+        return 1 + len(self.peers.by_host)
+
+    def note_unreachable(self, server: BackendServer, reason: str) -> None:
+        """Leave a server alone until a connection to it comes about."""
+        self.placement.note_failure(server.id, is_unreachable=True)
+        self.pool.drop(server.address)
+        self.log.write("server: unreachable", server=server.id, reason=reason)
+
+    def note_failure(self, server: BackendServer, reason: str) -> None:
+        """Count a failed request against a server."""
+        if self.placement.note_failure(server.id):
+            self.log.write("server: left alone", server=server.id, reason=reason)
+
+    def note_ended(
+        self,
+        exchange: Exchange,
+        route: Route | None,
+        account: ClientAccount | None,
+        code: str,
+        took_s: float,
+    ) -> None:
+        """Count a request that has ended."""
+        self.metrics.count_request(
+            route.name if route else "", account.name if account else "", code, took_s
+        )
+
+    async def probe_unreachable(self) -> None:
+        """Try to reach the servers that could not be reached."""
+        now = self.loop.time()
+        for server_id, load in list(self.placement.loads.items()):
+            if not load.is_unreachable:
+                continue
+            server = self.directory.get(server_id)
+            if server is None or now - self._probed_at.get(server_id, -1e9) < PROBE_S:
+                continue
+            self._probed_at[server_id] = now
+            self.loop.create_task(self._probe(server))
+
+    async def _probe(self, server: BackendServer) -> None:
+        try:
+            connection = await self.pool.open(server.address)
+        except OSError:
+            return  # The server stays marked as unreachable.
+        self.pool.give_back(connection)
+        self.placement.get_load(server.id).is_unreachable = False
+        self.log.write("server: reachable again", server=server.id)
+        self.line.note_room(server.service)
--- a/tests/request_fakes.py
+++ b/tests/request_fakes.py
@@ -18,7 +18,7 @@
 from bronzesail.explain import DecisionLog
 from bronzesail.fleet import PeerUnreachableError, RouterInfo
 from bronzesail.http import HttpClient, HttpRequest, HttpServer, Responder, send_json
-from bronzesail.platform import OutcomeUnknownError, UnreachableError
+from bronzesail.storage import OutcomeUnknownError, UnreachableError
 from bronzesail.request import RequestOutcome, RequestService, RequestSettings
 from bronzesail.routing import Route, RouteOrder
 from bronzesail.schema import (
--- a/tests/test_orders/test_keeper.py
+++ b/tests/test_orders/test_keeper.py
@@ -22,7 +22,7 @@
     make_order_key,
     place_in_table,
 )
-from bronzesail.platform import HttpTable
+from bronzesail.storage import HttpTable
 from bronzesail.schema import EngineSetup
 from bronzesail.standin import EngineStandin, TableStandin
 from bronzesail.util.clock import SystemClock
--- a/tests/test_orders/test_service.py
+++ b/tests/test_orders/test_service.py
@@ -14,7 +14,7 @@
 from bronzesail.http import HttpCall, HttpClient, HttpServer
 from bronzesail.operator import OperatorApi, OperatorParts
 from bronzesail.orders import OrderService
-from bronzesail.platform import HttpTable
+from bronzesail.storage import HttpTable
 from bronzesail.schema import (
     EngineSetup,
     HostEntry,
--- a/tests/test_request/test_claims.py
+++ b/tests/test_request/test_claims.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from bronzesail.platform import OutcomeUnknownError
+from bronzesail.storage import OutcomeUnknownError
 from bronzesail.request import RequestSettings
 from bronzesail.request._claims import Claim, ClaimOutcome, ClaimStore
 from bronzesail.request._ids import KeyIssuer, parse_key
--- a/tests/test_platform/test_http_clients.py
+++ b/tests/test_storage/test_http_clients.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 
 from bronzesail.http import HttpClient
-from bronzesail.platform import (
+from bronzesail.storage import (
     HttpHostDirectory,
     HttpObjectStore,
     HttpTable,
--- a/tools/binary/memory_importer.py
+++ b/tools/binary/memory_importer.py
@@ -25,7 +25,7 @@
 
 LIBRARY_DIRECTORY = "shared_libraries"
 # Used only where the kernel refuses memfd_create; hosts mount these as tmpfs.
-TEMPORARY_DIRECTORIES = ("/run", "/tmp", "/dev/shm")
+TEMPORARY_DIRECTORIES = ("/run", "/tmp")
 
 
 def open_memory_file(name: str) -> int:
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -72,7 +72,7 @@
         "bronzesail/http/_client.py",
         'raise ExchangeBrokenError("no response in time") from error',
         'raise NotSentError("no response in time") from error',
-        "tests/test_request tests/test_platform tests/test_http",
+        "tests/test_request tests/test_storage tests/test_http",
     ),
     Mutant(
         "a cut answer ends like a whole one",
