budget: routers find each other through the rows of holders; grants wait until all are counted

Change: addresses come from the holders' rows; the first grants wait until all rows are read; a host without demand keeps no first share once little is left.

--- a/benchmarks/_fleet_world.py
+++ b/benchmarks/_fleet_world.py
@@ -17,9 +17,9 @@
 from bronzesail.explain import DecisionLog
 from bronzesail.fleet import FleetService, FleetSettings, RouterInfo
 from bronzesail.http import HttpClient
-from bronzesail.storage import HttpHostDirectory, HttpTable
 from bronzesail.schema import HostEntry, PriorityClass
 from bronzesail.standin import HostListStandin, LinkStandin, RegionLink, TableStandin
+from bronzesail.storage import HttpHostDirectory, HttpTable
 from bronzesail.util.clock import SystemClock
 
 if TYPE_CHECKING:
--- a/benchmarks/budget_fleet.py
+++ b/benchmarks/budget_fleet.py
@@ -13,7 +13,6 @@
 from bronzesail.configuration import Configuration
 from bronzesail.explain import DecisionLog
 from bronzesail.fleet import PeerUnreachableError, RouterInfo
-from bronzesail.storage import OutcomeUnknownError, UnreachableError
 from bronzesail.schema import (
     Deployment,
     HostEntry,
@@ -24,6 +23,7 @@
     TransactReply,
 )
 from bronzesail.schema.codec import decode, encode
+from bronzesail.storage import OutcomeUnknownError, UnreachableError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -28,8 +28,8 @@
     wait_until_ready,
 )
 from bronzesail.http import HttpClient
-from bronzesail.storage import HttpTable
 from bronzesail.standin import EngineSpeed
+from bronzesail.storage import HttpTable
 
 if TYPE_CHECKING:
     from bronzesail.demo import Answer
--- a/bronzesail/application.py
+++ b/bronzesail/application.py
@@ -14,7 +14,6 @@
 from .http import HttpClient, HttpServer
 from .operator import ExplainService, OperatorApi, OperatorParts
 from .orders import OrderService
-from .storage import HttpHostDirectory, HttpTable
 from .request import RequestService, RequestSettings, UsageClient
 from .routing import RoutingService
 from .schema import (
@@ -23,6 +22,7 @@
     OrderSettings,
     RoutingSettings,
 )
+from .storage import HttpHostDirectory, HttpTable
 from .util.clock import SystemClock
 
 if TYPE_CHECKING:
--- a/bronzesail/budget/_operators.py
+++ b/bronzesail/budget/_operators.py
@@ -8,9 +8,9 @@
 from returns.result import Failure, Result, Success
 
 from ..errors import Refusal, ResultCode
-from ..storage import OutcomeUnknownError
 from ..schema import BudgetRow, Row, RowWrite, TopUpRow
 from ..schema.codec import decode_as, encode
+from ..storage import OutcomeUnknownError
 from ._escrow import check_row, find_hold, make_budget_key, make_top_up_key
 from ._holds import resolve_hold
 
--- a/bronzesail/budget/_recovery.py
+++ b/bronzesail/budget/_recovery.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING
 
 from ..fleet import PeerRefusedError, PeerUnreachableError
-from ..storage import PlatformError
 from ..schema import FenceReply, FenceRequest
+from ..storage import PlatformError
 from ._escrow import check_row, find_grant, find_hold
 from ._grant import make_journal_record
 from ._holds import resolve_hold
--- a/bronzesail/budget/_scanner.py
+++ b/bronzesail/budget/_scanner.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING, Protocol
 
 from ..explain import PartLogger
-from ..storage import PlatformError
 from ..schema.codec import CodecError
+from ..storage import PlatformError
 from ..util.invariants import InvariantError
 from ._topology import find_rank
 
--- a/bronzesail/budget/_service.py
+++ b/bronzesail/budget/_service.py
@@ -45,8 +45,8 @@
     from ..configuration import Configuration, ConfigurationView
     from ..explain import DecisionLog
     from ..fleet import Membership, PeerNetwork
-    from ..storage import Table
     from ..schema import BudgetRow
+    from ..storage import Table
     from ..util.clock import Clock
 
 __all__ = ["BudgetService"]
--- a/bronzesail/budget/_store.py
+++ b/bronzesail/budget/_store.py
@@ -6,9 +6,9 @@
 
 import attrs
 
-from ..storage import OutcomeUnknownError, PlatformError
 from ..schema import BudgetRow, LedgerPage, Row, RowWrite
 from ..schema.codec import decode_as, encode
+from ..storage import OutcomeUnknownError, PlatformError
 from ._escrow import make_budget_key
 from ._ledger import Ledger, make_ledger_prefix
 
--- a/bronzesail/configuration/_service.py
+++ b/bronzesail/configuration/_service.py
@@ -10,7 +10,6 @@
 from ..errors import Refusal, ResultCode
 from ..explain import Decision, PartLogger
 from ..fleet import PeerRefusedError, PeerUnreachableError, choose_owners
-from ..storage import PlatformError
 from ..schema import (
     ApplyReport,
     ConfigurationDelta,
@@ -22,6 +21,7 @@
     VersionAwait,
     VersionReached,
 )
+from ..storage import PlatformError
 from ._difference import describe_changes, describe_entry, find_fault
 from ._fold import SCHEMA_LEVEL
 from ._store import (
@@ -40,8 +40,8 @@
 
     from ..explain import DecisionLog
     from ..fleet import Membership, PeerNetwork, RouterInfo
-    from ..storage import Table
     from ..schema import ConfigurationChange, ConfigurationSettings
+    from ..storage import Table
     from ..util.clock import Clock
     from ._state import Configuration
     from ._store import AppendResult
--- a/bronzesail/configuration/_store.py
+++ b/bronzesail/configuration/_store.py
@@ -8,14 +8,14 @@
 
 import attrs
 
-from ..storage import OutcomeUnknownError, PlatformError
 from ..schema import ConfigurationHead, ConfigurationVersion, RowWrite
 from ..schema.codec import decode_as, encode
+from ..storage import OutcomeUnknownError, PlatformError
 from ._version_log import VersionLog
 
 if TYPE_CHECKING:
-    from ..storage import Table
     from ..schema import Row
+    from ..storage import Table
     from ._state import Configuration
 
 __all__ = [
--- a/bronzesail/fleet/_service.py
+++ b/bronzesail/fleet/_service.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING, Any
 
 from ..explain import Decision, PartLogger
-from ..storage import PlatformError
 from ..schema import (
     Acknowledgement,
     CheckReply,
@@ -19,6 +18,7 @@
     RouterId,
     Rumours,
 )
+from ..storage import PlatformError
 from ._effects import (
     AskCheck,
     Dial,
@@ -40,8 +40,8 @@
     from collections.abc import Callable, Coroutine
 
     from ..explain import DecisionLog
-    from ..storage import HostDirectory
     from ..schema import FleetSettings, HostEntry, HostList
+    from ..storage import HostDirectory
     from ..util.clock import Clock
     from ._interfaces import PeerHandler
 
--- a/bronzesail/operator/_api.py
+++ b/bronzesail/operator/_api.py
@@ -16,7 +16,6 @@
 from ..explain import PartLogger
 from ..http import send_json, send_refusal
 from ..orders import place_in_table, read_order
-from ..storage import PlatformError
 from ..schema import (
     ApplyReport,
     ConfigurationInForce,
@@ -24,6 +23,7 @@
     GeneratedConfiguration,
 )
 from ..schema.codec import CodecError, decode_as, encode
+from ..storage import PlatformError
 from ._status import (
     describe_account,
     describe_budget_row,
--- a/bronzesail/orders/_keeper.py
+++ b/bronzesail/orders/_keeper.py
@@ -6,9 +6,9 @@
 import itertools
 from typing import TYPE_CHECKING
 
-from ..storage import OutcomeUnknownError, PlatformError
 from ..schema import RowWrite
 from ..schema.codec import CodecError, encode
+from ..storage import OutcomeUnknownError, PlatformError
 from ._actions import (
     GiveOrder,
     OrderOutcome,
@@ -26,8 +26,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..storage import Table
     from ..schema import Row
+    from ..storage import Table
     from ..util.clock import Clock
     from ._actions import Action
     from ._log import OrderLog
--- a/bronzesail/orders/_placing.py
+++ b/bronzesail/orders/_placing.py
@@ -7,14 +7,14 @@
 from returns.result import Failure, Result, Success
 
 from ..errors import Refusal, ResultCode
-from ..storage import OutcomeUnknownError, PlatformError
 from ..schema import EngineSetup, OrderRow, RowWrite
 from ..schema.codec import decode_as, encode
+from ..storage import OutcomeUnknownError, PlatformError
 from ._rows import place_order
 
 if TYPE_CHECKING:
-    from ..storage import Table
     from ..schema import Row
+    from ..storage import Table
 
 __all__ = ["decode_order_row", "make_order_key", "place_in_table", "read_order"]
 
--- a/bronzesail/orders/_service.py
+++ b/bronzesail/orders/_service.py
@@ -21,8 +21,8 @@
     from ..explain import DecisionLog
     from ..fleet import Membership, RouterInfo
     from ..http import HttpClient
-    from ..storage import Table
     from ..schema import HostEntry, OrderSettings
+    from ..storage import Table
     from ..util.clock import Clock
 
 __all__ = ["OrderService"]
--- a/bronzesail/orders/_weights.py
+++ b/bronzesail/orders/_weights.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from ..storage import OutcomeUnknownError
 from ..schema import RowWrite, WeightStoreRow
 from ..schema.codec import decode_as, encode
+from ..storage import OutcomeUnknownError
 
 if TYPE_CHECKING:
     from ..storage import Table
--- a/bronzesail/request/_claims.py
+++ b/bronzesail/request/_claims.py
@@ -8,9 +8,9 @@
 
 import attrs
 
-from ..storage import OutcomeUnknownError, PlatformError
 from ..schema import ClaimRow, RouterId, RowWrite
 from ..schema.codec import CodecError, decode_as, encode
+from ..storage import OutcomeUnknownError, PlatformError
 from ._ids import derive_request_id
 
 if TYPE_CHECKING:
--- a/bronzesail/request/_context.py
+++ b/bronzesail/request/_context.py
@@ -11,8 +11,8 @@
 from ..explain import Decision, DecisionLog, PartLogger
 from ..fleet import Membership, PeerNetwork
 from ..http import HttpClient
-from ..storage import Table
 from ..routing import Selector
+from ..storage import Table
 from ..util.clock import Clock
 from ._engine import EngineClient
 from ._interfaces import RequestObserver, RequestSettings
--- a/bronzesail/request/_quarantine.py
+++ b/bronzesail/request/_quarantine.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING, Any
 
 from ..fleet import PeerRefusedError, PeerUnreachableError, choose_owners
-from ..storage import PlatformError
 from ..schema import (
     Acknowledgement,
     PoisonRow,
@@ -18,6 +17,7 @@
     TrialRequest,
 )
 from ..schema.codec import CodecError, decode_as, encode
+from ..storage import PlatformError
 from ._poison import PoisonWatch, TrialBook
 
 if TYPE_CHECKING:
--- a/bronzesail/request/_service.py
+++ b/bronzesail/request/_service.py
@@ -35,9 +35,9 @@
     from ..explain import DecisionLog
     from ..fleet import Membership, PeerNetwork
     from ..http import HttpClient
-    from ..storage import Table
     from ..routing import Selector
     from ..schema import ClientAccount
+    from ..storage import Table
     from ..util.clock import Clock
     from ._interfaces import RequestObserver, RequestSettings
     from ._orders import CallerOrder
--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -12,7 +12,7 @@
 
 from ..model import Limits
 from ..platform import SETTINGS_PATH_VARIABLE, decode_settings
-from .budget import BudgetBook
+from .budget import BudgetBook, HolderRow
 from .budget_desk import BudgetDesk
 from .budget_keeper import BudgetKeeper
 from .caller import CallerConnection, CallerRequest
@@ -42,6 +42,7 @@
 LEAVING_NOTICE_S = 2.3  # Two misses of a question a second take a host out.
 TAKE_UNTIL_S = 3.0  # Requests sent up to 3 s after SIGTERM are served to their end.
 EXIT_MARGIN_S = 0.5  # Before the platform kills the process.
+HOLDINGS_S = 2.0  # Holdings change within seconds; a line is 500 bytes.
 PEER_CALL_S = 1.0  # A configuration of some hundred KB across regions.
 HOLDERS_S = 3.0  # Between looks at the rows of the other processes.
 MISSED_HELLO_S = 0.9  # Two of a peer's hellos.
@@ -93,7 +94,12 @@
         self.line = WaitingLine(self.directory, self.placement)
         self.book = BudgetBook(settings.host, address, read_clock)
         self.keeper = BudgetKeeper(
-            self.book, self.store, self.log, self._key, self._serve_waiters
+            self.book,
+            self.store,
+            self.log,
+            self._key,
+            self._serve_waiters,
+            self._take_holder,
         )
         self.poison = PoisonList(loop.time)
         self.peers = Peers(
@@ -162,6 +168,7 @@
             self.peers.run(),
             self._sweep(),
             self._watch_settings(),
+            self._report_holdings(),
             self._watch_holders(),
         ):
             self._tasks.append(loop.create_task(work))
@@ -170,6 +177,8 @@
             incarnation=self.incarnation,
             zone=settings.zone,
             callers=f"{settings.caller_address[0]}:{settings.caller_address[1]}",
+            internal=f"{self._inner_address[0]}:{self._inner_address[1]}",
+            seeds=[ip for ip, _ in settings.seeds],
         )
 
     async def _start_metrics(self) -> None:
@@ -266,6 +275,10 @@
     def _serve_waiters(self) -> None:
         self.desk.serve_waiters()
 
+    def _take_holder(self, holder: HolderRow) -> None:
+        ip, _, port = holder.address.rpartition(":")
+        self.peers.add_address((ip, int(port)))
+
     def _make_hello(self) -> Hello:
         free = {
             account: self.book.count_spendable(account)
@@ -316,6 +329,27 @@
 
     # Regular work.
 
+    async def _report_holdings(self) -> None:
+        """Write what is held of each account, so that a refusal can be explained."""
+        while True:
+            await asyncio.sleep(HOLDINGS_S)
+            self.log.write(
+                "budget: holdings",
+                past_lease=self.book.is_past_lease(),
+                held={
+                    account: [
+                        holding.held,
+                        holding.passed,
+                        holding.settled,
+                        holding.reserved,
+                        holding.limit,
+                        int(holding.demand_per_s),
+                    ]
+                    for account, holding in self.book.holdings.items()
+                },
+                fields="held, passed on, settled, reserved, limit, demand a second",
+            )
+
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_S)
--- a/bronzesail/router/budget.py
+++ b/bronzesail/router/budget.py
@@ -313,10 +313,12 @@
             # The prepaid amount was cut below what is handed out.
             return -min(-left, max(0, holding.free))
         demand = holding.demand_per_s
+        is_scarce = left < prepaid * SCARCE_SHARE
         first = int(prepaid * FIRST_SHARE / max(hosts, 1))
-        floor = max(first if holding.settled == 0 else 0, int(holding.largest))
+        is_unused = holding.settled == 0 and not is_scarce
+        floor = max(first if is_unused else 0, int(holding.largest))
         target = max(int(demand * HOLD_AHEAD_S), floor, holding.wanted)
-        if left < prepaid * SCARCE_SHARE and holding.free > 2 * target:
+        if is_scarce and holding.free > 2 * target:
             return -(holding.free - target)
         below = max(int(demand * REFILL_BELOW_S), floor // 2, holding.wanted)
         if holding.free >= below:
--- a/bronzesail/router/budget_keeper.py
+++ b/bronzesail/router/budget_keeper.py
@@ -28,6 +28,8 @@
 RENEWAL_S = 0.7  # Several within the lease of 2.5 s, also after one lost answer.
 URGENT_GAP_S = 0.03  # Between two renewals that requests wait for.
 MAX_CONFLICTS = 4  # Immediate retries after a conflict with another router.
+ANNOUNCE_S = 0.7  # All machines start within 0.3 s of each other.
+LOOK_S = 4.0  # Tokens given back by others are seen after this.
 RETRY_S = 0.3  # Between calls to a store that does not answer.
 
 
@@ -54,6 +56,8 @@
         This process's key in the table of holders.
     on_change : callable
         Called after tokens may have arrived.
+    on_holder : callable
+        Called with each row of a process that is read.
     """
 
     def __init__(
@@ -63,12 +67,14 @@
         log: Log,
         key: str,
         on_change: Callable[[], None],
+        on_holder: Callable[[HolderRow], None],
     ) -> None:
         self.book = book
         self._store = store
         self._log = log
         self._key = key
         self._on_change = on_change
+        self._on_holder = on_holder
         self._wanted = asyncio.Event()
         self._dead: dict[str, _Dead] = {}
         self.host_count = 1
@@ -86,10 +92,15 @@
         """Renew until cancelled."""
         while not await self._load():
             await asyncio.sleep(RETRY_S)
+        await self._announce()
+        looked_at = read_clock()
         while True:
             done = await self.renew()
             if done:
                 await self._reclaim_dead()
+                if read_clock() - looked_at > LOOK_S:
+                    looked_at = read_clock()
+                    await self._look()
             gap_s = URGENT_GAP_S if done else RETRY_S
             await asyncio.sleep(gap_s)
             try:
@@ -99,6 +110,31 @@
                 pass
             self._wanted.clear()
 
+    async def _announce(self) -> None:
+        """Write this process's row, then count the hosts that share the budgets.
+
+        When a whole fleet starts, each process reads the rows before the others have
+        written theirs; the first grants wait until all are counted.
+        """
+        if self.host_count > 1:
+            return
+        prepaid, self.book.prepaid = self.book.prepaid, {}
+        await self.renew()
+        self.book.prepaid = self.book.prepaid or prepaid
+        await asyncio.sleep(ANNOUNCE_S)
+        await self._look()
+
+    async def _look(self) -> None:
+        """Read what the other processes hold and what the accounts have left."""
+        try:
+            accounts = await self._store.read_table(ACCOUNT_TABLE, PART)
+            await self.read_holders()
+        except StoreError as error:
+            self._log.write("budget: store does not answer", error=str(error))
+            return
+        for row in accounts.rows:
+            self._see_account(row)
+
     def note_dead(
         self, key: str, row: HolderRow, version: int, dead_by_s: float
     ) -> None:
@@ -122,6 +158,7 @@
                 self._log.write("budget: row unreadable", key=row.key, error=str(error))
                 continue
             holders[row.key] = (holder, row.version)
+            self._on_holder(holder)
         self.host_count = max(1, len({holder.host for holder, _ in holders.values()}))
         return holders
 
--- a/bronzesail/router/peers.py
+++ b/bronzesail/router/peers.py
@@ -248,7 +248,8 @@
                 confirmation.set_result(None)
 
     def error_received(self, exc: Exception) -> None:
-        """Ignore that a datagram was refused: the peer is found silent."""
+        """Log it; the peer is found silent."""
+        self._log.write("peers: datagram refused", error=repr(exc))
 
     def _take_hello(self, hello: Hello, address: tuple[str, int]) -> None:
         self.add_address(address)
--- a/tests/fleet_fakes.py
+++ b/tests/fleet_fakes.py
@@ -11,9 +11,9 @@
 from bronzesail.configuration import ConfigurationService, ConfigurationSettings
 from bronzesail.explain import DecisionLog
 from bronzesail.fleet import FleetService, FleetSettings
-from bronzesail.storage import OutcomeUnknownError, UnreachableError
 from bronzesail.schema import HostEntry, HostList, Row, TransactRequest
 from bronzesail.standin import TableStandin
+from bronzesail.storage import OutcomeUnknownError, UnreachableError
 from bronzesail.util.clock import SystemClock
 
 if TYPE_CHECKING:
--- a/tests/request_fakes.py
+++ b/tests/request_fakes.py
@@ -18,7 +18,6 @@
 from bronzesail.explain import DecisionLog
 from bronzesail.fleet import PeerUnreachableError, RouterInfo
 from bronzesail.http import HttpClient, HttpRequest, HttpServer, Responder, send_json
-from bronzesail.storage import OutcomeUnknownError, UnreachableError
 from bronzesail.request import RequestOutcome, RequestService, RequestSettings
 from bronzesail.routing import Route, RouteOrder
 from bronzesail.schema import (
@@ -32,6 +31,7 @@
     ServiceEntry,
     TransactReply,
 )
+from bronzesail.storage import OutcomeUnknownError, UnreachableError
 from bronzesail.util.clock import Clock, SystemClock
 from bronzesail.util.keys import hash_key
 
--- a/tests/test_orders/test_keeper.py
+++ b/tests/test_orders/test_keeper.py
@@ -22,9 +22,9 @@
     make_order_key,
     place_in_table,
 )
-from bronzesail.storage import HttpTable
 from bronzesail.schema import EngineSetup
 from bronzesail.standin import EngineStandin, TableStandin
+from bronzesail.storage import HttpTable
 from bronzesail.util.clock import SystemClock
 
 if TYPE_CHECKING:
--- a/tests/test_orders/test_service.py
+++ b/tests/test_orders/test_service.py
@@ -14,7 +14,6 @@
 from bronzesail.http import HttpCall, HttpClient, HttpServer
 from bronzesail.operator import OperatorApi, OperatorParts
 from bronzesail.orders import OrderService
-from bronzesail.storage import HttpTable
 from bronzesail.schema import (
     EngineSetup,
     HostEntry,
@@ -23,6 +22,7 @@
     ServiceEntry,
 )
 from bronzesail.standin import EngineStandin, TableStandin
+from bronzesail.storage import HttpTable
 from bronzesail.util.clock import SystemClock
 
 ROUTERS = [
--- a/tests/test_request/test_claims.py
+++ b/tests/test_request/test_claims.py
@@ -11,12 +11,12 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from bronzesail.storage import OutcomeUnknownError
 from bronzesail.request import RequestSettings
 from bronzesail.request._claims import Claim, ClaimOutcome, ClaimStore
 from bronzesail.request._ids import KeyIssuer, parse_key
 from bronzesail.request._retries import RetryPolicy
 from bronzesail.schema import RouterId, RowCheck, RowWrite, TransactReply
+from bronzesail.storage import OutcomeUnknownError
 from tests.request_fakes import SECRET, FakeTable
 
 ROUTERS = st.sampled_from(["r1", "r2", "r3"])
--- a/tests/test_storage/test_http_clients.py
+++ b/tests/test_storage/test_http_clients.py
@@ -10,14 +10,6 @@
 from hypothesis import given
 
 from bronzesail.http import HttpClient
-from bronzesail.storage import (
-    HttpHostDirectory,
-    HttpObjectStore,
-    HttpTable,
-    OutcomeUnknownError,
-    ThrottledError,
-    UnreachableError,
-)
 from bronzesail.schema import (
     HostEntry,
     RowCheck,
@@ -26,6 +18,14 @@
     TransactRequest,
 )
 from bronzesail.standin import HostListStandin, LinkPath, LinkStandin, TableStandin
+from bronzesail.storage import (
+    HttpHostDirectory,
+    HttpObjectStore,
+    HttpTable,
+    OutcomeUnknownError,
+    ThrottledError,
+    UnreachableError,
+)
 
 Scenario = Callable[[TableStandin, HttpTable], Awaitable[None]]
 
