--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -41,8 +41,9 @@
 SETTINGS_CHECK_S = 1.0  # The settings file may change without a signal.
 LEAVING_NOTICE_S = 2.3  # Two misses of a question a second take a host out.
 TAKE_UNTIL_S = 3.0  # Requests sent up to 3 s after SIGTERM are served to their end.
-EXIT_MARGIN_S = 0.5  # Before the platform kills the process.
+EXIT_MARGIN_S = 1.2  # For gifts and a call to the store, before the process is killed.
 HOLDINGS_S = 2.0  # Holdings change within seconds; a line is 500 bytes.
+RETURN_S = 0.5  # A call across regions.
 PEER_CALL_S = 1.0  # A configuration of some hundred KB across regions.
 HOLDERS_S = 3.0  # Between looks at the rows of the other processes.
 MISSED_HELLO_S = 0.9  # Two of a peer's hellos.
@@ -71,6 +72,7 @@
         self.incarnation = os.urandom(6).hex()
         self._random = random.Random(self.incarnation)
         self.is_draining = False
+        self.is_leaving = False
         self._stop_requested = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._callers: set[CallerConnection] = set()
@@ -100,6 +102,7 @@
             self._key,
             self._serve_waiters,
             self._take_holder,
+            self._random,
         )
         self.poison = PoisonList(loop.time)
         self.peers = Peers(
@@ -199,7 +202,9 @@
 
     def handle(self, connection: CallerConnection, request: CallerRequest) -> Exchange:
         """Start to answer a request."""
-        exchange = Exchange(self.services, connection, request)
+        exchange = Exchange(
+            self.services, connection, request, is_taken=not self.is_leaving
+        )
         self._exchanges.add(exchange.task)
         exchange.task.add_done_callback(self._exchanges.discard)
         return exchange
@@ -344,10 +349,13 @@
                         holding.reserved,
                         holding.limit,
                         int(holding.demand_per_s),
+                        self.book.prepaid.get(account),
+                        holding.out,
                     ]
                     for account, holding in self.book.holdings.items()
                 },
-                fields="held, passed on, settled, reserved, limit, demand a second",
+                fields="held, passed on, settled, reserved, limit, demand a second,"
+                " prepaid, handed out",
             )
 
     async def _sweep(self) -> None:
@@ -431,32 +439,47 @@
         self.peers.tell()
         while self._loop.time() < kill_at:
             elapsed_s = self._loop.time() - started_at
-            is_idle = all(caller.is_idle for caller in self._callers)
-            if elapsed_s > LEAVING_NOTICE_S and is_idle and not self._exchanges:
-                break
+            if elapsed_s > TAKE_UNTIL_S and not self.is_leaving:
+                self.is_leaving = True
+                for task in self._tasks:
+                    task.cancel()
+                await self._return_tokens(is_final=False)
+            if elapsed_s > LEAVING_NOTICE_S:
+                self._close_idle_callers()
+                if not self._exchanges and not self._callers:
+                    break
             await asyncio.sleep(0.05)
-        for caller in list(self._callers):
-            if caller.is_idle:
-                caller.close()
+        self._close_idle_callers()
         for server in self._servers:
             server.close()
-        await self._give_back()
+        await self._return_tokens(is_final=True)
         self.log.write("router: stopped", cut=len(self._exchanges))
         self.log.flush()
 
-    async def _give_back(self) -> None:
-        for task in self._tasks:
-            task.cancel()
+    def _close_idle_callers(self) -> None:
+        for caller in list(self._callers):
+            if caller.is_idle:
+                caller.close()
+
+    async def _return_tokens(self, *, is_final: bool) -> None:
+        """Give what is not spent to peers, or to the store where none is left.
+
+        A peer confirms within milliseconds. A call to a store that has just gone away
+        leaves the tokens in doubt, and no time to give them to anybody else.
+        """
+        if self.peers.list_live():
+            gifts = [
+                self.peers.give_away(account, tokens)
+                for account in list(self.book.holdings)
+                if (tokens := self.book.take_all(account))
+            ]
+            await asyncio.gather(*gifts)
         try:
-            async with asyncio.timeout(EXIT_MARGIN_S - 0.1):
-                if await self.keeper.give_back():
-                    return
-                for account in list(self.book.holdings):
-                    tokens = self.book.take_all(account)
-                    if tokens:
-                        await self.peers.give_away(account, tokens)
+            async with asyncio.timeout(RETURN_S):
+                if not await self.keeper.give_back(is_final=is_final):
+                    self.log.write("budget: row not given back")
         except TimeoutError:
-            self.log.write("budget: tokens not given back in time")
+            self.log.write("budget: row not given back in time")
 
 
 def _read_text(path: str) -> str:
--- a/bronzesail/router/budget.py
+++ b/bronzesail/router/budget.py
@@ -18,7 +18,7 @@
 import msgspec
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Container, Iterable
 
 __all__ = [
     "LEASE_S",
@@ -31,10 +31,11 @@
 ]
 
 LEASE_S = 2.5  # A killed process is back and dates its start within 2 s.
-LIMIT_AHEAD_S = 5.0  # LEASE_S, one renewal period, and room for a burst.
+LIMIT_AHEAD_S = 3.2  # LEASE_S, a renewal period, and its call.
 HOLD_AHEAD_S = 14.0  # The longest absence of the store on the sheets is 9 s.
 REFILL_BELOW_S = 10.0  # Refills come every 4 s, so that rows rarely conflict.
 DEMAND_WINDOW_S = 4.0  # Decay of the demand's average; the traffic waves in 11 s.
+TYPICAL_WEIGHT = 0.2  # Of one request in the average size.
 FIRST_SHARE = 0.25  # Of an account's tokens, handed out before any demand is seen.
 SCARCE_SHARE = 0.25  # Below this share left in the store, surplus goes back.
 OWN_AHEAD_S = 2.0  # Demand that a router keeps tokens for when others ask.
@@ -70,6 +71,7 @@
     limit: int = 0
     demand_per_s: float = 0.0
     largest: float = 0.0
+    typical: float = 0.0
     out: int = 0
     version: int = 0
     wanted: int = 0
@@ -100,6 +102,7 @@
     accounts: dict[str, tuple[int, int]]  # Expected version and new `out`.
     stamped_at: float
     is_final: bool = False
+    adopted: dict[str, int] = attrs.field(factory=dict)  # From a dead process's row.
 
 
 class BudgetBook:
@@ -151,23 +154,16 @@
             return holding.free
         return min(holding.free, holding.limit - holding.spent)
 
-    def reserve(self, account: str, tokens: int) -> bool:
+    def try_reserve(self, account: str, tokens: int) -> bool:
         """Set `tokens` aside for a request; tell whether there were enough."""
-        self.note_demand(account, tokens)
-        return self.try_reserve(account, tokens)
-
-    def note_demand(self, account: str, tokens: int) -> None:
-        """Count a request towards the demand that refills follow."""
+        if self.count_spendable(account) < tokens:
+            return False
         self.fade_demand()
         holding = self.get_holding(account)
+        holding.reserved += tokens
         holding.demand_per_s += tokens / DEMAND_WINDOW_S
         holding.largest = max(holding.largest, tokens)
-
-    def try_reserve(self, account: str, tokens: int) -> bool:
-        """Set `tokens` aside without counting demand."""
-        if self.count_spendable(account) < tokens:
-            return False
-        self.get_holding(account).reserved += tokens
+        holding.typical += (tokens - holding.typical) * TYPICAL_WEIGHT
         return True
 
     def settle(self, account: str, reserved: int, used: int) -> None:
@@ -179,7 +175,7 @@
         if used < reserved:
             # Demand is counted at the most; what was not used is taken off again.
             surplus = (reserved - used) / DEMAND_WINDOW_S
-            holding.demand_per_s = max(0.0, holding.demand_per_s - surplus * 0.5)
+            holding.demand_per_s = max(0.0, holding.demand_per_s - surplus)
 
     def pass_on(self, account: str, want: int) -> int:
         """Give up to `want` tokens to another router; return how many."""
@@ -231,7 +227,17 @@
         """Return how many tokens the store has left to hand out, as last seen."""
         return self.prepaid.get(account, 0) - self.get_holding(account).out
 
-    def plan(self, clock_s: float, hosts: int) -> Attempt:
+    def plan_adoption(self, tokens: dict[str, int]) -> Attempt:
+        """Return the transaction that takes over a dead process's tokens."""
+        held: dict[str, tuple[int, int]] = {}
+        for account in {*self.holdings, *tokens}:
+            holding = self.get_holding(account)
+            held[account] = (holding.held + tokens.get(account, 0), holding.limit)
+        return self._make_attempt({}, {}, held, is_final=False, adopted=tokens)
+
+    def plan(
+        self, clock_s: float, hosts: int, changed: Container[str] | None = None
+    ) -> Attempt:
         """Return the next transaction.
 
         Parameters
@@ -240,6 +246,8 @@
             The store's clock, at the latest.
         hosts : int
             How many routers share the budgets.
+        changed : container of str, optional
+            The accounts whose holdings may change; all by default.
         """
         self.fade_demand()
         if self.started_s is None:
@@ -254,7 +262,9 @@
         held: dict[str, tuple[int, int]] = {}
         for account, prepaid in self.prepaid.items():
             holding = self.get_holding(account)
-            change = self._plan_change(holding, prepaid, hosts)
+            change = 0
+            if changed is None or account in changed:
+                change = self._plan_change(holding, prepaid, hosts)
             if change:
                 grants[account] = change
                 accounts[account] = (holding.version, holding.out + change)
@@ -264,16 +274,25 @@
                 held[account] = (total, limit)
         return self._make_attempt(grants, accounts, held, is_final=False)
 
-    def plan_return(self) -> Attempt:
-        """Return the transaction that gives everything back that is not spent."""
+    def plan_return(self, *, is_final: bool) -> Attempt:
+        """Return the transaction that gives everything back that is not spent.
+
+        Parameters
+        ----------
+        is_final : bool
+            Whether this process's row goes too: nothing may be reserved any more.
+        """
         accounts: dict[str, tuple[int, int]] = {}
         grants: dict[str, int] = {}
+        held: dict[str, tuple[int, int]] = {}
         for account, holding in self.holdings.items():
+            held[account] = (holding.held, holding.limit)
             if holding.free <= 0:
                 continue
             grants[account] = -holding.free
             accounts[account] = (holding.version, holding.out - holding.free)
-        return self._make_attempt(grants, accounts, {}, is_final=True)
+            held[account] = (holding.spent, holding.limit)
+        return self._make_attempt(grants, accounts, held, is_final=is_final)
 
     def _make_attempt(
         self,
@@ -282,6 +301,7 @@
         held: dict[str, tuple[int, int]],
         *,
         is_final: bool,
+        adopted: dict[str, int] | None = None,
     ) -> Attempt:
         self._sequence += 1
         row = HolderRow(
@@ -299,6 +319,7 @@
             accounts=accounts,
             stamped_at=self._stamped_at,
             is_final=is_final,
+            adopted=adopted or {},
         )
         # Tokens on their way back are out of reach from now on.
         for account, change in grants.items():
@@ -327,13 +348,15 @@
         return max(0, min(target - holding.free, most))
 
     def _plan_limit(self, holding: Holding, total: int) -> int:
+        """Return the limit to write; a lower one binds before it is written."""
         ahead = max(
             int(holding.demand_per_s * LIMIT_AHEAD_S),
-            int(holding.largest * 2),
+            int(holding.typical),
             holding.wanted,
-            total // 3 if holding.settled == 0 else 0,
         )
-        return max(holding.limit, min(total, holding.spent + ahead))
+        limit = min(total, holding.spent + ahead)
+        holding.limit = min(holding.limit, limit)
+        return limit
 
     def apply(self, attempt: Attempt, version: int) -> None:
         """Take the effect of an attempt that is known to have been carried out."""
@@ -344,6 +367,8 @@
             if version >= holding.version:
                 holding.version = version
                 holding.out = attempt.accounts[account][1]
+        for account, tokens in attempt.adopted.items():
+            self.get_holding(account).granted += tokens
         for account, (_, limit) in attempt.row.held.items():
             holding = self.get_holding(account)
             holding.limit = max(holding.limit, limit)
@@ -394,6 +419,10 @@
         self.row_version = 0
         self.is_closed = False
 
+    def is_stamp_old(self) -> bool:
+        """Whether the known row's stamp leaves little of the lease."""
+        return self._now() - self._acknowledged_at > LEASE_S / 4
+
     @property
     def has_unresolved(self) -> bool:
         """Whether the outcome of some attempt is unknown."""
--- a/bronzesail/router/budget_desk.py
+++ b/bronzesail/router/budget_desk.py
@@ -60,7 +60,6 @@
     ) -> Refusal | None:
         """Reserve tokens; return a refusal where they cannot be had in time."""
         is_first = not self._waiters.get(account)
-        self._book.note_demand(account, tokens)
         if is_first and self._book.try_reserve(account, tokens):
             self._renew_early(account)
             return None
--- a/bronzesail/router/budget_keeper.py
+++ b/bronzesail/router/budget_keeper.py
@@ -14,6 +14,7 @@
 from .store import ConflictError, StoreError
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Callable
 
     from ..model import Row
@@ -25,7 +26,7 @@
 ACCOUNT_TABLE = "accounts"
 HOLDER_TABLE = "holders"
 PART = "budget"  # One part, since a transaction spans one part only.
-RENEWAL_S = 0.7  # Several within the lease of 2.5 s, also after one lost answer.
+RENEWAL_S = 0.4  # Several within the lease of 2.5 s, also after one lost answer.
 URGENT_GAP_S = 0.03  # Between two renewals that requests wait for.
 MAX_CONFLICTS = 4  # Immediate retries after a conflict with another router.
 ANNOUNCE_S = 0.7  # All machines start within 0.3 s of each other.
@@ -58,6 +59,8 @@
         Called after tokens may have arrived.
     on_holder : callable
         Called with each row of a process that is read.
+    generator : random.Random
+        Source of random numbers.
     """
 
     def __init__(
@@ -68,6 +71,7 @@
         key: str,
         on_change: Callable[[], None],
         on_holder: Callable[[HolderRow], None],
+        generator: random.Random,
     ) -> None:
         self.book = book
         self._store = store
@@ -75,6 +79,7 @@
         self._key = key
         self._on_change = on_change
         self._on_holder = on_holder
+        self._random = generator
         self._wanted = asyncio.Event()
         self._dead: dict[str, _Dead] = {}
         self.host_count = 1
@@ -94,6 +99,8 @@
             if await self._load():
                 break
             await asyncio.sleep(RETRY_S)
+        await self.renew_row()
+        await self._reclaim_dead()
         await self._announce()
         looked_at = read_clock()
         while True:
@@ -113,16 +120,13 @@
             self._wanted.clear()
 
     async def _announce(self) -> None:
-        """Write this process's row, then count the hosts that share the budgets.
+        """Count the hosts that share the budgets, where none was there before.
 
         When a whole fleet starts, each process reads the rows before the others have
         written theirs; the first grants wait until all are counted.
         """
         if self.host_count > 1:
             return
-        prepaid, self.book.prepaid = self.book.prepaid, {}
-        await self.renew()
-        self.book.prepaid = self.book.prepaid or prepaid
         await asyncio.sleep(ANNOUNCE_S)
         await self._look()
 
@@ -182,29 +186,53 @@
             # Another process of this host was dead before this one started.
             self._dead[key] = _Dead(key, holder, version, started_s)
         self.has_loaded = True
-        await self._reclaim_dead()
         return True
 
     async def renew(self) -> bool:
-        """Carry out one transaction on this process's row; tell whether it worked."""
-        for _ in range(MAX_CONFLICTS):
-            now = read_clock()
-            clock_s = self._store.clock.read_earliest(now)
-            attempt = self.book.plan(clock_s, self.host_count)
-            outcome = await self._transact(attempt)
-            if outcome is not None:
-                if outcome != self.is_in_step:
-                    self.is_in_step = outcome
-                    state = "regained" if outcome else "lost"
-                    self._log.write(f"budget: store {state}")
-                self._on_change()
-                return outcome
-        return True
+        """Carry out one transaction on this process's row; tell whether it worked.
 
-    async def give_back(self) -> bool:
+        Rows of accounts change at every router. After a conflict over them the own
+        row is renewed alone, so that its stamp does not age, and then a part of the
+        accounts is tried, more of them after each success.
+        """
+        changed: list[str] | None = None
+        for _ in range(MAX_CONFLICTS):
+            outcome = await self._renew_once(changed)
+            if outcome is False:
+                break
+            if outcome is None:
+                if await self.renew_row() is False:
+                    outcome = False
+                    break
+                accounts = list(self.book.prepaid)
+                changed = self._random.sample(accounts, max(1, len(accounts) // 2))
+                continue
+            if changed is None and not self.book.is_stamp_old():
+                break
+            changed = None
+        else:
+            outcome = True
+        if outcome != self.is_in_step:
+            self.is_in_step = bool(outcome)
+            state = "regained" if outcome else "lost"
+            self._log.write(f"budget: store {state}")
+        self._on_change()
+        return bool(outcome)
+
+    async def renew_row(self) -> bool | None:
+        """Renew this process's row without any change of what it holds."""
+        return await self._renew_once([])
+
+    async def _renew_once(self, changed: list[str] | None) -> bool | None:
+        clock_s = self._store.clock.read_earliest(read_clock())
+        attempt = self.book.plan(clock_s, self.host_count, changed)
+        return await self._transact(attempt)
+
+    async def give_back(self, *, is_final: bool) -> bool:
         """Return all tokens that are not spent, at a planned stop."""
         for _ in range(MAX_CONFLICTS):
-            outcome = await self._transact(self.book.plan_return())
+            attempt = self.book.plan_return(is_final=is_final)
+            outcome = await self._transact(attempt)
             if outcome is not None:
                 return outcome
         return False
@@ -283,42 +311,44 @@
                 return
 
     async def _reclaim(self, dead: _Dead) -> None:
+        """Take a dead process's row away, and its tokens into the own row.
+
+        No row of an account changes, so that no other router's refill conflicts.
+        """
         tokens = reclaim(dead.row, dead.dead_by_s)
-        own = RowKey(HOLDER_TABLE, PART, dead.key)
-        for _ in range(MAX_CONFLICTS):
-            checks = [RowCheck(own, dead.version)]
-            writes = []
-            outs = {}
-            for account, count in tokens.items():
-                holding = self.book.get_holding(account)
-                key = RowKey(ACCOUNT_TABLE, PART, account)
-                outs[account] = holding.out - count
-                checks.append(RowCheck(key, holding.version))
-                value = msgspec.json.encode(AccountRow(out=outs[account]))
-                writes.append(RowWrite(key, value))
-            try:
-                version = await self._store.transact(checks, writes, [own])
-            except ConflictError as error:
-                if self._is_reclaimed(dead, error.rows):
-                    break
-                continue
-            for account, out in outs.items():
-                self.book.see_account(account, out, version)
-            total = sum(tokens.values())
-            held = sum(held for held, _ in dead.row.held.values())
-            self.reclaimed_tokens += total
-            self._log.write(
-                "budget: tokens reclaimed", key=dead.key, tokens=total, held=held,
-                stamp_s=dead.row.stamp_s, dead_by_s=dead.dead_by_s,
-            )  # fmt: skip
-            break
+        own = RowKey(HOLDER_TABLE, PART, self._key)
+        key = RowKey(HOLDER_TABLE, PART, dead.key)
+        attempt = self.book.plan_adoption(tokens)
+        checks = [RowCheck(key, dead.version), RowCheck(own, attempt.base_version)]
+        writes = [RowWrite(own, msgspec.json.encode(attempt.row))]
+        try:
+            version = await self._store.transact(checks, writes, [key])
+        except ConflictError as error:
+            self._take_conflict(attempt, error.rows)
+            if self._is_gone(dead, error.rows):
+                self._dead.pop(dead.key, None)
+            return
+        except StoreError as error:
+            if not error.is_unknown:
+                self.book.reject(attempt)
+            raise
+        self.book.apply(attempt, version)
         self._dead.pop(dead.key, None)
-
-    def _is_reclaimed(self, dead: _Dead, rows: list[Row]) -> bool:
-        is_there = False
+        total = sum(tokens.values())
+        self.reclaimed_tokens += total
+        self._log.write(
+            "budget: tokens reclaimed",
+            key=dead.key,
+            tokens=total,
+            held=sum(held for held, _ in dead.row.held.values()),
+            stamp_s=dead.row.stamp_s,
+            dead_by_s=dead.dead_by_s,
+        )
+
+    @staticmethod
+    def _is_gone(dead: _Dead, rows: list[Row]) -> bool:
+        """Whether another router took the row, or the process was alive after all."""
         for row in rows:
-            if row.table == ACCOUNT_TABLE:
-                self._see_account(row)
-            elif row.key == dead.key and not row.is_removed:
-                is_there = row.version == dead.version
-        return not is_there
+            if row.key == dead.key and row.version == dead.version:
+                return row.is_removed
+        return True
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -39,6 +39,7 @@
 STREAM_SILENCE_S = 2.5  # A stream that may be resumed goes on elsewhere after this.
 NO_SERVER_RETRY_S = 1.0  # Servers come back after some seconds.
 OVERLOAD_RETRY_S = 1.0  # Spread by half of it.
+LEAVING_RETRY_S = 0.05  # Another host takes the request at once.
 PRIORITY_LOWEST = 9
 
 _tickets = itertools.count(1)
@@ -63,15 +64,23 @@
         Where the answer goes.
     request : CallerRequest
         The request.
+    is_taken : bool
+        False where the process will end before the request could.
     """
 
     def __init__(
-        self, services: Services, caller: CallerConnection, request: CallerRequest
+        self,
+        services: Services,
+        caller: CallerConnection,
+        request: CallerRequest,
+        *,
+        is_taken: bool = True,
     ) -> None:
         self._services = services
         self._loop = services.loop
         self._caller = caller
         self._request = request
+        self._is_taken = is_taken
         self._connection: Connection | None = None
         self._head: RequestHead | None = None
         self._route: Route | None = None
@@ -129,6 +138,8 @@
 
     async def _serve(self) -> None:
         self._head = self._read_head()
+        if not self._is_taken:
+            raise self._fail(ResultCode.DRAINING, retry_after_s=LEAVING_RETRY_S)
         configuration = self._services.configuration.current
         if configuration is None:
             raise self._fail(ResultCode.NO_BACKEND, retry_after_s=NO_SERVER_RETRY_S)
