--- a/bronzesail/router/budget.py
+++ b/bronzesail/router/budget.py
@@ -121,7 +121,7 @@
     def __init__(self, host: str, address: str, now: Callable[[], float]) -> None:
         self.host = host
         self._address = address
-        self._now = now
+        self.now = now
         self.prepaid: dict[str, int] = {}
         self.holdings: dict[str, Holding] = {}
         self.row_version = 0
@@ -143,7 +143,7 @@
         newest = self._acknowledged_at
         for attempt in self._unresolved:
             newest = max(newest, attempt.stamped_at)
-        return self._now() - newest > LEASE_S
+        return self.now() - newest > LEASE_S
 
     def count_spendable(self, account: str) -> int:
         """Return how many tokens can be reserved now."""
@@ -210,7 +210,7 @@
 
     def fade_demand(self) -> None:
         """Let the demand's average decay to now."""
-        now = self._now()
+        now = self.now()
         elapsed = now - self._faded_at
         if elapsed < 0.05:
             return
@@ -260,7 +260,7 @@
             # A failed attempt may still take effect: until one is known to have, the
             # stamp stays, so that no row ever shows a lease past its end.
             self._stamp_s = clock_s
-            self._stamped_at = self._now()
+            self._stamped_at = self.now()
         accounts: dict[str, tuple[int, int]] = {}
         grants: dict[str, int] = {}
         held: dict[str, tuple[int, int]] = {}
@@ -425,7 +425,7 @@
 
     def is_stamp_old(self) -> bool:
         """Whether the known row's stamp leaves little of the lease."""
-        return self._now() - self._acknowledged_at > LEASE_S / 4
+        return self.now() - self._acknowledged_at > LEASE_S / 4
 
     @property
     def has_unresolved(self) -> bool:
--- a/bronzesail/router/budget_keeper.py
+++ b/bronzesail/router/budget_keeper.py
@@ -10,7 +10,6 @@
 
 from ..model import RowCheck, RowKey, RowWrite
 from .budget import AccountRow, Attempt, BudgetBook, HolderRow, reclaim
-from .clocks import read_clock
 from .store import ConflictError, StoreError
 
 if TYPE_CHECKING:
@@ -89,7 +88,7 @@
         self.has_loaded = False
         self.is_in_step = False
         self.reclaimed_tokens = 0
-        self.lost_tokens = 0
+
         self._process_started_at = started_at
 
     def request_renewal(self) -> None:
@@ -99,19 +98,19 @@
     async def run(self) -> None:
         """Renew until cancelled."""
         while True:
-            if await self._load():
+            if await self.load():
                 break
             await asyncio.sleep(RETRY_S)
         await self.renew_row()
-        await self._reclaim_dead()
+        await self.reclaim_dead()
         await self._announce()
-        looked_at = read_clock()
+        looked_at = self.book.now()
         while True:
             done = await self.renew()
             if done:
-                await self._reclaim_dead()
-                if read_clock() - looked_at > LOOK_S:
-                    looked_at = read_clock()
+                await self.reclaim_dead()
+                if self.book.now() - looked_at > LOOK_S:
+                    looked_at = self.book.now()
                     await self._look()
             gap_s = URGENT_GAP_S if done else RETRY_S
             await asyncio.sleep(gap_s)
@@ -171,7 +170,8 @@
         self.host_count = max(1, len({holder.host for holder, _ in holders.values()}))
         return holders
 
-    async def _load(self) -> bool:
+    async def load(self) -> bool:
+        """Read the rows of accounts and processes once; tell whether it worked."""
         try:
             accounts = await self._store.read_table(ACCOUNT_TABLE, PART)
             holders = await self.read_holders()
@@ -227,7 +227,7 @@
         return await self._renew_once([])
 
     async def _renew_once(self, changed: list[str] | None) -> bool | None:
-        clock_s = self._store.clock.read_earliest(read_clock())
+        clock_s = self._store.clock.read_earliest(self.book.now())
         attempt = self.book.plan(clock_s, self.host_count, changed)
         return await self._transact(attempt)
 
@@ -303,7 +303,8 @@
             return
         self.book.see_account(row.key, account.out, row.version)
 
-    async def _reclaim_dead(self) -> None:
+    async def reclaim_dead(self) -> None:
+        """Take over what the processes known to be dead had not spent."""
         for dead in list(self._dead.values()):
             try:
                 await self._reclaim(dead)
--- /dev/null
+++ b/tests/test_router/test_budget.py
@@ -0,0 +1,150 @@
+"""Budgets of one process: limits, leases and what is told of attempts in doubt."""
+
+from __future__ import annotations
+
+from bronzesail.router.budget import LEASE_S, BudgetBook, reclaim
+
+START_S = 100.0
+
+
+class World:
+    """One book on a clock of its own, whose transactions the test answers."""
+
+    def __init__(self, prepaid=10_000):
+        self.time = START_S
+        self.version = 0
+        self.book = BudgetBook("h1", "10.0.0.1:1", lambda: self.time)
+        self.book.set_prepaid({"a": prepaid})
+
+    def plan(self):
+        return self.book.plan(self.time, 1)
+
+    def acknowledge(self, attempt):
+        self.version += 1
+        self.book.apply(attempt, self.version)
+
+    def renew(self):
+        attempt = self.plan()
+        self.acknowledge(attempt)
+        return attempt
+
+    def spend(self, tokens):
+        assert self.book.try_reserve("a", tokens)
+        self.book.settle("a", tokens, tokens)
+
+    def count_spent(self):
+        return self.book.get_holding("a").spent
+
+
+def test_spending_stays_below_the_limit_while_a_renewal_in_doubt_may_show_a_lease():
+    world = World()
+    world.renew()
+    world.time += 1.0
+    in_doubt = world.plan()  # Carried out, and its answer is lost.
+    world.time += 1.0
+    # The known row's lease has ended; that of the row in doubt has not.
+    assert not world.book.is_past_lease()
+    world.spend(world.book.count_spendable("a"))
+    tokens = reclaim(in_doubt.row, world.time)
+    held, _ = in_doubt.row.held["a"]
+    assert world.count_spent() + tokens["a"] <= held
+
+
+def test_a_second_attempt_does_not_move_the_stamp_of_one_in_doubt():
+    world = World()
+    world.renew()
+    world.time += 0.5
+    first = world.plan()
+    world.time += 0.5
+    second = world.plan()
+    assert second.row.stamp_s == first.row.stamp_s
+    world.time = first.stamped_at + LEASE_S + 0.01
+    assert world.book.is_past_lease()
+
+
+def test_a_lower_limit_binds_before_it_is_known_to_be_written():
+    world = World()
+    world.book.get_holding("a").wanted = 1_000
+    world.renew()
+    world.book.get_holding("a").wanted = 0
+    world.spend(400)
+    world.renew()
+    before = world.book.get_holding("a").limit
+    world.time += 1.5
+    world.book.fade_demand()
+    in_doubt = world.plan()  # Carried out, and its answer is lost.
+    _, limit = in_doubt.row.held["a"]
+    assert limit < before
+    world.spend(world.book.count_spendable("a"))
+    tokens = reclaim(in_doubt.row, world.time)
+    held, _ = in_doubt.row.held["a"]
+    assert world.count_spent() + tokens.get("a", 0) <= held
+
+
+def test_all_that_is_held_can_be_spent_once_the_lease_has_ended():
+    world = World()
+    attempt = world.renew()
+    held, limit = attempt.row.held["a"]
+    assert limit < held
+    world.time += LEASE_S + 0.01
+    assert world.book.count_spendable("a") == held
+    assert reclaim(attempt.row, world.time) == {}
+
+
+def test_tokens_on_their_way_back_are_not_spent_and_return_if_refused():
+    world = World()
+    world.renew()
+    held = world.book.get_holding("a").free
+    attempt = world.book.plan_return(is_final=False)
+    assert world.book.get_holding("a").free == 0
+    world.book.reject(attempt)
+    assert world.book.get_holding("a").free == held
+
+
+def test_an_attempt_in_doubt_that_took_effect_is_found_in_the_row():
+    world = World()
+    first = world.renew()
+    world.spend(world.book.count_spendable("a"))
+    world.book.get_holding("a").wanted = 4_000
+    in_doubt = world.plan()
+    granted = in_doubt.grants["a"]
+    later = world.plan()
+    assert world.book.see_own_row(in_doubt.row, world.version + 1)
+    world.book.reject(later)
+    assert world.book.get_holding("a").granted == first.grants["a"] + granted
+
+
+def test_a_row_that_another_router_took_away_ends_all_spending():
+    world = World()
+    world.renew()
+    assert not world.book.see_own_row(None, -1)
+    assert world.book.count_spendable("a") == 0
+    world.book.start_over()
+    assert world.book.get_holding("a").free == 0
+
+
+def test_tokens_go_back_when_the_prepaid_amount_is_cut_below_what_is_out():
+    world = World()
+    world.renew()
+    free = world.book.get_holding("a").free
+    world.book.set_prepaid({"a": 1_000})
+    attempt = world.plan()
+    assert attempt.grants["a"] == -min(free, world.book.get_holding("a").out - 1_000)
+
+
+def test_no_refill_takes_more_than_the_store_has_left():
+    world = World(prepaid=1_000)
+    other = BudgetBook("h2", "10.0.0.2:1", lambda: world.time)
+    other.set_prepaid({"a": 1_000})
+    for _ in range(50):
+        for book in (world.book, other):
+            book.get_holding("a").wanted = 300
+            holding = world.book.get_holding("a")
+            book.see_account("a", holding.out, holding.version)
+            attempt = book.plan(world.time, 2)
+            world.version += 1
+            book.apply(attempt, world.version)
+            out = book.get_holding("a").out
+            for seen in (world.book, other):
+                seen.see_account("a", out, world.version)
+    assert world.book.get_holding("a").held + other.get_holding("a").held <= 1_000
--- /dev/null
+++ b/tests/test_router/test_budget_machine.py
@@ -0,0 +1,249 @@
+"""State machine over budgets: any order of spending, transfers, failures and deaths."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+
+import attrs
+import hypothesis.strategies as st
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from bronzesail.model import RowKey
+from bronzesail.router.budget import BudgetBook
+from bronzesail.router.budget_keeper import HOLDER_TABLE, PART, BudgetKeeper
+from tests.router_fakes import FakeClock, FakeRows, FakeStoreClient, Mode, SilentLog
+
+HOSTS = ("h1", "h2", "h3")
+ACCOUNTS = ("a", "b")
+PREPAID = 1_000
+CLOCK_ERROR_S = 0.05
+HOST = st.sampled_from(HOSTS)
+ACCOUNT = st.sampled_from(ACCOUNTS)
+MODES = st.lists(st.sampled_from(list(Mode)), max_size=6)
+PICK = st.integers(0, 1_000)
+
+
+@attrs.define
+class Process:
+    key: str
+    book: BudgetBook
+    keeper: BudgetKeeper
+    client: FakeStoreClient
+    reservations: list = attrs.field(factory=list)
+
+
+class BudgetMachine(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.time = 100.0
+        self.rows = FakeRows()
+        self.prepaid = dict.fromkeys(ACCOUNTS, PREPAID)
+        self.largest = dict(self.prepaid)
+        self.gone = dict.fromkeys(ACCOUNTS, 0)
+        self.processes = {}
+        self.numbers = itertools.count(1)
+        self.random = random.Random(7)
+        for host in HOSTS:
+            self.start(host, [])
+
+    def run(self, coroutine):
+        return asyncio.run(coroutine)
+
+    @rule(host=HOST, modes=MODES)
+    def start(self, host, modes):
+        if host in self.processes:
+            return
+        number = next(self.numbers)
+        key = f"{host}.{number}"
+        book = BudgetBook(host, "10.0.0.1:1", lambda: self.time)
+        book.set_prepaid(dict(self.prepaid))
+        client = FakeStoreClient(
+            self.rows, FakeClock(self.rows, CLOCK_ERROR_S), list(modes)
+        )
+        keeper = BudgetKeeper(
+            book,
+            client,
+            SilentLog(),
+            key,
+            lambda: None,
+            lambda row: None,
+            self.random,
+            self.time,
+        )
+        self.processes[host] = Process(key, book, keeper, client)
+        self.load(host)
+
+    @rule(host=HOST)
+    def load(self, host):
+        process = self.processes.get(host)
+        if process is None or process.keeper.has_loaded:
+            return
+        if self.run(process.keeper.load()):
+            self.run(process.keeper.renew_row())
+            self.run(process.keeper.reclaim_dead())
+
+    @rule(host=HOST, modes=MODES)
+    def renew(self, host, modes):
+        process = self.processes.get(host)
+        if process is None or not process.keeper.has_loaded:
+            return
+        process.client.modes[:] = modes
+        if self.run(process.keeper.renew()):
+            self.run(process.keeper.reclaim_dead())
+        process.client.modes.clear()
+
+    @rule(host=HOST, account=ACCOUNT, tokens=st.integers(1, 300))
+    def reserve(self, host, account, tokens):
+        process = self.processes.get(host)
+        if process is None:
+            return
+        holding = process.book.get_holding(account)
+        if process.book.try_reserve(account, tokens):
+            process.reservations.append((account, tokens))
+            holding.wanted = 0
+        else:
+            holding.wanted = tokens  # As for a request that waits.
+
+    @rule(host=HOST, pick=PICK, share=st.floats(0, 1))
+    def settle(self, host, pick, share):
+        process = self.processes.get(host)
+        if process is None or not process.reservations:
+            return
+        account, tokens = process.reservations.pop(pick % len(process.reservations))
+        used = int(tokens * share)
+        process.book.settle(account, tokens, used)
+        self.gone[account] += used
+
+    @rule(
+        giver=HOST,
+        taker=HOST,
+        account=ACCOUNT,
+        want=st.integers(1, 500),
+        arrives=st.booleans(),
+    )
+    def transfer(self, giver, taker, account, want, arrives):
+        if giver == taker or giver not in self.processes:
+            return
+        tokens = self.processes[giver].book.pass_on(account, want)
+        if arrives and tokens and taker in self.processes:
+            self.processes[taker].book.receive(account, tokens)
+
+    @rule(host=HOST, modes=MODES)
+    def stop(self, host, modes):
+        """A planned stop: tokens go back, then the process ends."""
+        process = self.processes.get(host)
+        if process is None or not process.keeper.has_loaded or process.reservations:
+            return
+        process.client.modes[:] = modes
+        self.run(process.keeper.give_back(is_final=True))
+        del self.processes[host]
+
+    @rule(host=HOST)
+    def kill(self, host):
+        process = self.processes.pop(host, None)
+        if process is None:
+            return
+        for account, tokens in process.reservations:
+            self.gone[account] += tokens
+        for other in self.processes.values():
+            found = self.rows.rows.get(RowKey(HOLDER_TABLE, PART, process.key))
+            if found is None or not other.keeper.has_loaded:
+                continue
+            holders = self.run(other.keeper.read_holders())
+            row, version = holders[process.key]
+            dead_by_s = self.time + CLOCK_ERROR_S
+            other.keeper.note_dead(process.key, row, version, dead_by_s)
+
+    @rule(seconds=st.sampled_from((0.1, 0.5, 1.0, 2.0, 5.0)))
+    def wait(self, seconds):
+        self.time += seconds
+
+    @rule()
+    def land_late(self):
+        self.rows.land_late()
+
+    @rule(account=ACCOUNT, change=st.integers(-600, 600))
+    def change_prepaid(self, account, change):
+        self.prepaid[account] = max(0, self.prepaid[account] + change)
+        self.largest[account] = max(self.largest[account], self.prepaid[account])
+
+    @rule(host=HOST)
+    def take_configuration(self, host):
+        if host in self.processes:
+            self.processes[host].book.set_prepaid(dict(self.prepaid))
+
+    @invariant()
+    def is_never_overspent(self):
+        for account in ACCOUNTS:
+            spent = self.gone[account]
+            for process in self.processes.values():
+                spent += sum(t for a, t in process.reservations if a == account)
+            assert spent <= self.largest[account]
+
+    @invariant()
+    def holds_its_own_invariant(self):
+        for process in self.processes.values():
+            process.book.check_invariant()
+
+
+TestBudgetMachine = BudgetMachine.TestCase
+TestBudgetMachine.settings = settings(max_examples=300, stateful_step_count=60)
+
+N_WALKS = 120
+N_STEPS = 300
+
+
+def draw_modes(generator):
+    if generator.random() > 0.2:
+        return []
+    return [generator.choice(list(Mode)) for _ in range(generator.randint(1, 3))]
+
+
+def walk(seed):
+    """Spend all there is, with few deaths, so that a token handed out twice shows."""
+    generator = random.Random(seed)
+    machine = BudgetMachine()
+    failing = generator.random() < 0.7
+    for _ in range(N_STEPS):
+        machine.is_never_overspent()
+        machine.holds_its_own_invariant()
+        host = generator.choice(HOSTS)
+        account = ACCOUNTS[0]
+        step = generator.random()
+        modes = draw_modes(generator) if failing else []
+        if step < 0.4:
+            machine.reserve(host, account, generator.randint(10, 120))
+        elif step < 0.48:
+            machine.settle(host, generator.randint(0, 99), generator.choice((0.5, 1)))
+        elif step < 0.72:
+            machine.renew(host, modes)
+        elif step < 0.82:
+            machine.wait(generator.choice((0.1, 0.2, 0.3, 0.3, 1.0, 2.5)))
+        elif step < 0.88:
+            taker = generator.choice(HOSTS)
+            machine.transfer(host, taker, account, generator.randint(10, 200), True)
+        elif step < 0.895:
+            machine.kill(host)
+        elif step < 0.96:
+            machine.start(host, [])
+            machine.load(host)
+        elif step < 0.97:
+            machine.stop(host, modes)
+        elif step < 0.99:
+            machine.land_late()
+        else:
+            machine.change_prepaid(account, generator.choice((-300, 100)))
+            machine.take_configuration(host)
+    return machine
+
+
+def test_walks_that_spend_everything():
+    spent = 0
+    for seed in range(N_WALKS):
+        machine = walk(seed)
+        spent += machine.gone[ACCOUNTS[0]] / machine.largest[ACCOUNTS[0]]
+    # A walk that cannot spend would show nothing.
+    assert spent / N_WALKS > 0.4
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -44,6 +44,10 @@
     tests: str
 
 
+ROUTER_BUDGET_TESTS = (
+    "tests/test_router/test_budget.py tests/test_router/test_budget_machine.py"
+)
+
 MUTANTS = (
     Mutant(
         "a claim of another router counts as the own one",
@@ -140,6 +144,71 @@
         "    return True",
         "tests/test_request tests/test_configuration tests/test_application",
     ),
+    Mutant(
+        "a dead process's tokens are reclaimed without a proof of the lease",
+        "bronzesail/router/budget.py",
+        "    if dead_by_s > row.stamp_s + LEASE_S:\n        return {}\n",
+        "",
+        ROUTER_BUDGET_TESTS,
+    ),
+    Mutant(
+        "a lease is taken to end although a renewal may have been carried out",
+        "bronzesail/router/budget.py",
+        "            newest = max(newest, attempt.stamped_at)\n",
+        "            pass\n",
+        ROUTER_BUDGET_TESTS,
+    ),
+    Mutant(
+        "tokens on their way back can still be spent",
+        "bronzesail/router/budget.py",
+        "            if change < 0:\n                self.get_holding(account)"
+        ".granted += change\n        self._unresolved",
+        "            pass\n        self._unresolved",
+        ROUTER_BUDGET_TESTS,
+    ),
+    Mutant(
+        "tokens passed on are kept",
+        "bronzesail/router/budget.py",
+        "        holding.passed += given\n",
+        "",
+        ROUTER_BUDGET_TESTS,
+    ),
+    Mutant(
+        "spending does not heed the limit of the row",
+        "bronzesail/router/budget.py",
+        "        return min(holding.free, holding.limit - holding.spent)",
+        "        return holding.free",
+        ROUTER_BUDGET_TESTS,
+    ),
+    Mutant(
+        "a lower limit binds only once it is written",
+        "bronzesail/router/budget.py",
+        "        holding.limit = min(holding.limit, limit)\n",
+        "",
+        ROUTER_BUDGET_TESTS,
+    ),
+    Mutant(
+        "a renewal does not check the version of the own row",
+        "bronzesail/router/budget_keeper.py",
+        "        checks = [RowCheck(own, attempt.base_version)]\n        writes: ",
+        "        checks: list[RowCheck] = []\n        writes: ",
+        ROUTER_BUDGET_TESTS,
+    ),
+    Mutant(
+        "a refill does not check the version of the account's row",
+        "bronzesail/router/budget_keeper.py",
+        "            checks.append(RowCheck(key, version))\n",
+        "",
+        ROUTER_BUDGET_TESTS,
+    ),
+    Mutant(
+        "a dead process's row is adopted twice",
+        "bronzesail/router/budget_keeper.py",
+        "        checks = [RowCheck(key, dead.version), RowCheck(own, "
+        "attempt.base_version)]",
+        "        checks = [RowCheck(own, attempt.base_version)]",
+        ROUTER_BUDGET_TESTS,
+    ),
 )
 
 
