tests: whole path between stand-ins of the platform's store and servers

33 cases over sockets: answers unchanged and whole, once at most, refusals that are true, budgets over stops, kills and a silent store, configuration from peers, smuggling.

--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -63,6 +63,8 @@
         The platform's settings file.
     started_at : float
         When the process started, as `read_clock` has it.
+    log_descriptor : int
+        File descriptor of the log; standard output by default.
     """
 
     def __init__(
@@ -70,13 +72,14 @@
         loop: asyncio.AbstractEventLoop,
         settings_path: str,
         started_at: float,
+        log_descriptor: int = 1,
     ) -> None:
         self._started_at = started_at
         self._loop = loop
         self._settings_path = settings_path
         self._settings_text = _read_text(settings_path)
         self.settings = decode_settings(self._settings_text)
-        self.log = Log(self.settings.host)
+        self.log = Log(self.settings.host, log_descriptor)
         self.log.attach(loop)
         self.incarnation = os.urandom(6).hex()
         self._random = random.Random(self.incarnation)
@@ -149,11 +152,25 @@
         await self._stop_requested.wait()
         await self._drain()
 
+    def request_stop(self) -> None:
+        """Ask for a planned stop; `run` carries it out."""
+        self._stop_requested.set()
+
+    def abort(self) -> None:
+        """Stop at once and without a word, as a crash would."""
+        for task in (*self._tasks, *self._exchanges):
+            task.cancel()
+        for server in self._servers:
+            server.close()
+        for caller in list(self._callers):
+            caller.abort()
+        self.peers.close()
+        self.pool.close()
+        self.store.close()
+
     async def _start(self) -> None:
         settings = self.settings
         loop = self._loop
-        loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
         self._servers.append(
             await start_inner_server(loop, settings.ready_address, self._answer_ready)
         )
@@ -422,9 +439,10 @@
     async def _watch_settings(self) -> None:
         while True:
             await asyncio.sleep(SETTINGS_CHECK_S)
-            self._reload_settings()
+            self.reload_settings()
 
-    def _reload_settings(self) -> None:
+    def reload_settings(self) -> None:
+        """Take over what has changed in the settings file."""
         try:
             text = _read_text(self._settings_path)
             if text == self._settings_text:
@@ -519,6 +537,10 @@
     path = os.environ[SETTINGS_PATH_VARIABLE]
 
     async def run() -> None:
-        await Application(asyncio.get_running_loop(), path, started_at).run()
+        loop = asyncio.get_running_loop()
+        application = Application(loop, path, started_at)
+        loop.add_signal_handler(signal.SIGTERM, application.request_stop)
+        loop.add_signal_handler(signal.SIGHUP, application.reload_settings)
+        await application.run()
 
     uvloop.run(run())
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -158,10 +158,10 @@
             raise self._fail(ResultCode.MALFORMED_REQUEST, str(error)) from error
 
     def _find_route(self, configuration: Configuration) -> Route:
-        host = ""
-        for name, value in self._request.headers:
-            if name.lower() == b"host":
-                host = value.decode("latin-1").strip().lower()
+        hosts = [v for name, v in self._request.headers if name.lower() == b"host"]
+        if len(hosts) != 1:
+            raise self._fail(ResultCode.MALFORMED_REQUEST, "not one host")
+        host = hosts[0].decode("latin-1").strip().lower()
         path = self._request.target.decode("latin-1").partition("?")[0]
         route = configuration.find_route(host, path)
         if route is None:
--- /dev/null
+++ b/tests/platform_standin.py
@@ -0,0 +1,404 @@
+"""Stand-ins of the platform's store and backend servers, with routers on them."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import contextlib
+import itertools
+import json
+import os
+import socket
+import time
+
+import attrs
+import h11
+
+from bronzesail.http import HttpServer, send_json
+from bronzesail.router.application import Application
+from bronzesail.router.clocks import read_clock
+
+HOST_NAME = "api.example"
+KEY = "key-of-acme"
+WAIT_TIMEOUT_S = 30.0  # Ends a test that would hang; no assertion depends on it.
+
+_ips = itertools.count(2)
+
+
+async def wait_until(condition):
+    """Wait until a condition holds."""
+    async with asyncio.timeout(WAIT_TIMEOUT_S):
+        while True:
+            if condition():
+                return
+            await asyncio.sleep(0.01)
+
+
+def find_port(ip):
+    """Return a port of `ip` that is free now."""
+    with socket.socket() as sock:
+        sock.bind((ip, 0))
+        return sock.getsockname()[1]
+
+
+class StoreStandin:
+    """Rows with transactions, reads and feeds; `failure` says how calls fail."""
+
+    def __init__(self):
+        self.rows = {}
+        self.log = []
+        self.version = 0
+        self.oldest = 0
+        self.calls = 0
+        self.failure = None
+        self._changed = asyncio.Event()
+        self._server = HttpServer(self._answer)
+
+    async def start(self):
+        await self._server.start("127.0.0.1", 0)
+        return self._server.address
+
+    async def close(self):
+        await self._server.close()
+
+    def put(self, table, key, value, part=""):
+        """Write a row as the operators or the servers do."""
+        body = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.version += 1
+        self._store(table, part, key, body)
+
+    def remove(self, table, key, part=""):
+        self.version += 1
+        self._store(table, part, key, None)
+
+    def find(self, table, part=""):
+        return {
+            k[2]: json.loads(v[0])
+            for k, v in self.rows.items()
+            if k[:2] == (table, part)
+        }
+
+    def drop_history(self):
+        self.log.clear()
+        self.oldest = self.version
+
+    def _store(self, table, part, key, body):
+        name = (table, part, key)
+        if body is None:
+            self.rows.pop(name, None)
+        else:
+            self.rows[name] = (body, self.version)
+        self.log.append((self.version, name, body))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _answer(self, request, responder):
+        self.calls += 1
+        if self.failure == "silent":
+            await asyncio.sleep(3600)
+        if self.failure == "busy":
+            await send_json(responder, 503, {})
+            return
+        if request.path == "/rows-tx":
+            status, body = self._transact(json.loads(request.body))
+        elif request.path == "/rows-get":
+            status, body = self._read(request)
+        else:
+            status, body = await self._watch(request)
+        if self.failure == "lost" and request.path == "/rows-tx":
+            await asyncio.sleep(3600)
+        body |= {"rowVersion": self.version, "nowMs": int(time.monotonic() * 1000)}
+        await send_json(responder, status, body)
+
+    def _transact(self, call):
+        names = [(c["table"], c["part"], c["key"]) for c in call["expectedRev"]]
+        for name, check in zip(names, call["expectedRev"], strict=True):
+            if self.rows.get(name, (b"", 0))[1] != check["rowVersion"]:
+                return 412, {"rows": [self._encode(n) for n in names if n in self.rows]}
+        self.version += 1
+        for write in call["write"]:
+            body = base64.b64decode(write["value"])
+            self._store(write["table"], write["part"], write["key"], body)
+        for name in call["remove"]:
+            self._store(name["table"], name["part"], name["key"], None)
+        return 200, {}
+
+    def _read(self, request):
+        table, part = request.find_query("table"), request.find_query("part")
+        start = request.find_query("source")
+        names = sorted(n for n in self.rows if n[:2] == (table, part) and n[2] >= start)
+        limit = int(request.find_query("limit", "500"))
+        rows = [self._encode(name) for name in names[:limit]]
+        return 200, {"rows": rows, "hasMore": len(names) > limit}
+
+    async def _watch(self, request):
+        table, since = request.find_query("table"), int(request.find_query("sinceRev"))
+        if since < self.oldest:
+            return 410, {}
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(int(request.find_query("waitMs")) / 1000):
+                while not self._find_changes(table, since):
+                    await self._changed.wait()
+        if since < self.oldest:
+            return 410, {}
+        return 200, {"rows": self._find_changes(table, since)}
+
+    def _find_changes(self, table, since):
+        newest = {}
+        for version, name, body in self.log:
+            if version > since and name[0] == table:
+                newest[name] = body
+        return [
+            self._encode(name)
+            if body is not None
+            else {"table": name[0], "part": name[1], "key": name[2], "deleted": True}
+            for name, body in newest.items()
+        ]
+
+    def _encode(self, name):
+        body, version = self.rows[name]
+        return {
+            "table": name[0],
+            "part": name[1],
+            "key": name[2],
+            "value": base64.b64encode(body).decode(),
+            "rowVersion": version,
+        }
+
+
+class BackendStandin:
+    """A backend server; `behave` answers each request that it runs."""
+
+    def __init__(self, server_id, service, behave):
+        self.id = server_id
+        self.service = service
+        self.requests = []
+        self._behave = behave
+        self._server = HttpServer(self._answer)
+
+    async def start(self):
+        await self._server.start("127.0.0.1", 0)
+
+    async def close(self):
+        await self._server.close()
+
+    def make_entry(self, state="ready"):
+        return {
+            "service": self.service,
+            "address": self._server.address,
+            "zone": "z1",
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "coldLeftMs": 0,
+            "sequence": 1,
+        }
+
+    async def _answer(self, request, responder):
+        headers = [("X-Attempt-Id", request.find_header("x-attempt-id"))]
+        if request.find_header("x-expect-instance") != self.id:
+            await responder.start(421, (*headers, ("Content-Length", "0")))
+            await responder.finish()
+            return
+        self.requests.append(request)
+        headers.append(("X-Server-Seal", f"seal-of-{self.id}"))
+        await self._behave(request, responder, headers)
+
+
+async def answer_plainly(request, responder, headers):
+    """Answer with the request's body."""
+    length = ("Content-Length", str(len(request.body)))
+    await responder.start(200, (*headers, length))
+    await responder.write(request.body)
+    await responder.finish()
+
+
+def stream_events(count, gap_s=0.0):
+    """Return a behaviour that streams `count` events."""
+
+    async def behave(request, responder, headers):
+        await responder.start(200, (*headers, ("Content-Type", "text/event-stream")))
+        first = int(request.find_header("last-event-id", "0")) + 1
+        for number in range(first, count + 1):
+            await responder.write(b"id: %d\ndata: x\n\n" % number)
+            await asyncio.sleep(gap_s)
+        await responder.finish()
+
+    return behave
+
+
+def make_configuration(version=1, prepaid=100_000, **changes):
+    """Return a configuration with one route of each kind."""
+    routes = [
+        ("stream", "/chat/", "streaming", "llm", {}),
+        ("resumable", "/talk/", "streaming", "llm", {"resumable": True}),
+        ("once", "/book/", "non_idempotent", "app", {}),
+        ("read", "/look/", "idempotent", "app", {}),
+    ]
+    body = {
+        "version": version,
+        "routes": [
+            {
+                "name": name,
+                "host": HOST_NAME,
+                "prefix": prefix,
+                "routeKind": kind,
+                "timeoutMs": 5000,
+                "goalMs": 1000,
+                "priority": 1,
+                "service": service,
+                "maxAttempts": 2,
+                "public": False,
+                "sticky": False,
+                **more,
+            }
+            for name, prefix, kind, service, more in routes
+        ],
+        "services": [
+            {
+                "name": "llm",
+                "healthPath": "/healthz",
+                "maxConns": 100,
+                "engine": {"slots": 8, "kvCapacity": 100_000, "stride": 5},
+            },
+            {"name": "app", "healthPath": "/healthz", "maxConns": 100},
+        ],
+        "limits": {
+            "maxHeaderBytes": 4096,
+            "maxBodyBytes": 20_000,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15_000,
+        },
+        "tenants": [
+            {"name": "acme", "apiKeys": [KEY], "priority": 1, "reserved": prepaid}
+        ],
+    }
+    return body | changes
+
+
+@attrs.define
+class RunningRouter:
+    """One router on an address of its own."""
+
+    app: Application
+    task: asyncio.Task
+    ip: str
+    port: int
+
+    @property
+    def address(self):
+        return f"{self.ip}:{self.port}"
+
+    async def stop(self):
+        self.app.request_stop()
+        await self.task
+
+
+class Deployment:
+    """A store, backend servers and routers on loopback addresses."""
+
+    def __init__(self, folder):
+        self._folder = folder
+        self._ids = itertools.count(1)
+        self.store = StoreStandin()
+        self.backends = []
+        self.routers = []
+
+    async def start_backend(self, server_id, service, behave):
+        backend = BackendStandin(server_id, service, behave)
+        await backend.start()
+        self.backends.append(backend)
+        self.store.put("servers", server_id, backend.make_entry())
+        return backend
+
+    async def start_router(self, name):
+        ip = f"127.0.0.{next(_ips) % 250 + 2}"
+        internal = find_port(ip)
+        settings = f"""
+nodeName = "{name}"
+ip = "{ip}"
+zone = "z1"
+region = "r1"
+internalPorts = [{internal}, {internal}]
+seeds = []
+[zones]
+z1 = "r1"
+[listen]
+frontend = "{ip}:{(port := find_port(ip))}"
+ready = "{ip}:{find_port(ip)}"
+[limits]
+memoryMb = 300
+[bounds]
+graceS = 8
+[platform]
+address = "{self.address}"
+"""
+        path = self._folder / f"{name}.toml"
+        path.write_text(settings)
+        log = os.open(self._folder / f"{name}.log", os.O_CREAT | os.O_WRONLY)
+        loop = asyncio.get_running_loop()
+        app = Application(loop, str(path), read_clock(), log)
+        router = RunningRouter(app, asyncio.create_task(app.run()), ip, port)
+        self.routers.append(router)
+        return router
+
+    async def __aenter__(self):
+        self.address = await self.store.start()
+        return self
+
+    async def __aexit__(self, *_):
+        for router in self.routers:
+            router.app.abort()
+            router.task.cancel()
+            await asyncio.gather(router.task, return_exceptions=True)
+        for backend in self.backends:
+            await backend.close()
+        await self.store.close()
+
+    async def send(self, router, path, body=b"", method="POST", key=KEY, **headers):
+        """Send a request on a connection of its own; return status, headers, body."""
+        lines = [
+            f"{method} {path} HTTP/1.1",
+            f"Host: {HOST_NAME}",
+            f"X-Attempt-Id: r{next(self._ids)}",
+            "X-Deadline-Ms: 20000",
+            f"Authorization: Bearer {key}",
+            "Connection: close",
+            *(f"{name.replace('_', '-')}: {value}" for name, value in headers.items()),
+        ]
+        if body:
+            lines.append(f"Content-Length: {len(body)}")
+        request = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+        return await exchange_raw(router, request)
+
+
+async def exchange_raw(router, request):
+    """Send bytes and return the first answer's status, headers and body.
+
+    The body is None where the connection ended before the answer did.
+    """
+    reader, writer = await asyncio.open_connection(router.ip, router.port)
+    parser = h11.Connection(h11.CLIENT)
+    parser.send(h11.Request(method="GET", target="/", headers=[("Host", "x")]))
+    parser.send(h11.EndOfMessage())
+    status, headers, body = 0, {}, b""
+    try:
+        writer.write(request)
+        async with asyncio.timeout(WAIT_TIMEOUT_S):
+            while True:
+                event = parser.next_event()
+                if event is h11.NEED_DATA:
+                    parser.receive_data(await reader.read(65536))
+                elif isinstance(event, h11.Response):
+                    status = event.status_code
+                    headers = {k.decode(): v.decode() for k, v in event.headers}
+                elif isinstance(event, h11.Data):
+                    body += event.data
+                elif isinstance(event, h11.EndOfMessage):
+                    return status, headers, bytes(body)
+                elif isinstance(event, h11.ConnectionClosed):
+                    return status, headers, None
+    except (h11.RemoteProtocolError, ConnectionResetError):
+        return status, headers, None
+    finally:
+        writer.close()
--- a/tests/test_router/test_budget_machine.py
+++ b/tests/test_router/test_budget_machine.py
@@ -202,6 +202,34 @@
     return [generator.choice(list(Mode)) for _ in range(generator.randint(1, 3))]
 
 
+def take_step(machine, generator, failing):
+    host = generator.choice(HOSTS)
+    account = ACCOUNTS[0]
+    modes = draw_modes(generator) if failing else []
+    steps = {
+        "reserve": lambda: machine.reserve(host, account, generator.randint(10, 120)),
+        "settle": lambda: machine.settle(
+            host, generator.randint(0, 99), generator.choice((0.5, 1))
+        ),
+        "renew": lambda: machine.renew(host, modes),
+        "wait": lambda: machine.wait(generator.choice((0.1, 0.2, 0.3, 0.3, 1.0, 2.5))),
+        "transfer": lambda: machine.transfer(
+            host, generator.choice(HOSTS), account, generator.randint(10, 200), True
+        ),
+        "kill": lambda: machine.kill(host),
+        "start": lambda: machine.start(host, []),
+        "load": lambda: machine.load(host),
+        "stop": lambda: machine.stop(host, modes),
+        "land late": machine.land_late,
+        "change": lambda: machine.change_prepaid(
+            account, generator.choice((-300, 100))
+        ),
+        "configure": lambda: machine.take_configuration(host),
+    }
+    weights = (400, 80, 240, 100, 60, 15, 40, 40, 10, 20, 5, 10)
+    steps[generator.choices(list(steps), weights)[0]]()
+
+
 def walk(seed):
     """Spend all there is, with few deaths, so that a token handed out twice shows."""
     generator = random.Random(seed)
@@ -210,33 +238,7 @@
     for _ in range(N_STEPS):
         machine.is_never_overspent()
         machine.holds_its_own_invariant()
-        host = generator.choice(HOSTS)
-        account = ACCOUNTS[0]
-        step = generator.random()
-        modes = draw_modes(generator) if failing else []
-        if step < 0.4:
-            machine.reserve(host, account, generator.randint(10, 120))
-        elif step < 0.48:
-            machine.settle(host, generator.randint(0, 99), generator.choice((0.5, 1)))
-        elif step < 0.72:
-            machine.renew(host, modes)
-        elif step < 0.82:
-            machine.wait(generator.choice((0.1, 0.2, 0.3, 0.3, 1.0, 2.5)))
-        elif step < 0.88:
-            taker = generator.choice(HOSTS)
-            machine.transfer(host, taker, account, generator.randint(10, 200), True)
-        elif step < 0.895:
-            machine.kill(host)
-        elif step < 0.96:
-            machine.start(host, [])
-            machine.load(host)
-        elif step < 0.97:
-            machine.stop(host, modes)
-        elif step < 0.99:
-            machine.land_late()
-        else:
-            machine.change_prepaid(account, generator.choice((-300, 100)))
-            machine.take_configuration(host)
+        take_step(machine, generator, failing)
     return machine
 
 
--- /dev/null
+++ b/tests/test_router/test_whole_path.py
@@ -0,0 +1,395 @@
+"""Requests through a whole router, between stand-ins of the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+
+from tests.platform_standin import (
+    HOST_NAME,
+    KEY,
+    Deployment,
+    answer_plainly,
+    exchange_raw,
+    make_configuration,
+    stream_events,
+    wait_until,
+)
+
+TOKENS = {"X_Token_Counts": "100,50", "X_Prefix_Hash": "aa:60,bb:40"}
+
+
+def run_deployed(scenario):
+    """Run a scenario with one router, one engine and one plain server."""
+
+    def test(tmp_path):
+        async def run():
+            async with Deployment(tmp_path) as deployment:
+                deployment.store.put("op", "config", make_configuration())
+                deployment.engine = await deployment.start_backend(
+                    "e1", "llm", stream_events(10)
+                )
+                deployment.plain = await deployment.start_backend(
+                    "p1", "app", answer_plainly
+                )
+                router = await deployment.start_router("h1")
+                app = router.app
+                await wait_until(lambda: app.is_ready() and app.keeper.is_in_step)
+                await scenario(deployment, router)
+
+        asyncio.run(run())
+
+    test.__name__ = scenario.__name__
+    return test
+
+
+@run_deployed
+async def test_answer_of_the_server_comes_back_unchanged(deployment, router):
+    status, headers, body = await deployment.send(router, "/book/1", b"a ticket")
+    assert (status, body) == (200, b"a ticket")
+    assert headers["x-server-seal"] == "seal-of-p1"
+    (request,) = deployment.plain.requests
+    assert request.target == "/book/1"
+    assert request.find_header("x-tenant") == "acme"
+    assert not request.find_header("authorization")
+    assert 0 < int(request.find_header("x-deadline-ms")) <= 5000
+
+
+@run_deployed
+async def test_stream_comes_whole_and_is_settled(deployment, router):
+    status, _, body = await deployment.send(router, "/chat/1", b"prompt", **TOKENS)
+    assert status == 200
+    assert body.count(b"id: ") == 10
+    holding = router.app.book.get_holding("acme")
+    await wait_until(lambda: holding.reserved == 0)
+    assert holding.settled == 100 + 10 * 5
+
+
+@run_deployed
+async def test_headers_that_the_router_sets_are_not_taken_from_callers(
+    deployment, router
+):
+    forged = {
+        "X_Tenant": "other",
+        "X_Expect_Instance": "other",
+        "X_Pin_Ms": "4000",
+        "X_Kv_Retention": "r1",
+        "X_Kv_Replica": "10.0.0.1:80",
+        "Kv_From": "10.0.0.1:80/h",
+        "X_Request_Priority": "0",
+    }
+    status, _, _ = await deployment.send(router, "/book/1", b"x", **forged)
+    assert status == 200
+    (request,) = deployment.plain.requests
+    assert request.find_header("x-tenant") == "acme"
+    for name in ("X-Pin-Ms", "X-Kv-Retention", "X-Kv-Replica", "Kv-From"):
+        assert not request.find_header(name.lower())
+
+
+@run_deployed
+async def test_what_no_configuration_allows_is_refused(deployment, router):
+    assert (await deployment.send(router, "/nowhere/"))[0] == 404
+    assert (await deployment.send(router, "/book/1", key="wrong"))[0] == 401
+    assert not deployment.plain.requests
+
+
+@run_deployed
+async def test_a_key_that_is_taken_away_is_refused_at_once(deployment, router):
+    body = make_configuration(version=2)
+    body["tenants"][0]["apiKeys"] = ["new-key"]
+    deployment.store.put("op", "config", body)
+    await wait_until(lambda: router.app.configuration.version == 2)
+    assert (await deployment.send(router, "/book/1"))[0] == 401
+    assert (await deployment.send(router, "/book/1", key="new-key"))[0] == 200
+
+
+@run_deployed
+async def test_an_older_configuration_is_not_taken(deployment, router):
+    deployment.store.put("op", "config", make_configuration(version=5))
+    await wait_until(lambda: router.app.configuration.version == 5)
+    router.app.configuration.offer(
+        json.dumps(make_configuration(version=4)).encode(), "peer"
+    )
+    assert router.app.configuration.version == 5
+
+
+@run_deployed
+async def test_a_request_beyond_the_budget_gets_402_and_does_not_run(
+    deployment, router
+):
+    big = {"X_Token_Counts": "90000,20000"}
+    assert (await deployment.send(router, "/chat/1", b"x", **big))[0] == 402
+    assert not deployment.engine.requests
+
+
+@run_deployed
+async def test_a_kind_that_may_not_repeat_is_sent_once(deployment, router):
+    async def break_off(request, responder, headers):
+        raise ConnectionResetError
+
+    deployment.plain._behave = break_off
+    status, _, _ = await deployment.send(router, "/book/1", b"x")
+    assert status == 502
+    assert len(deployment.plain.requests) == 1
+
+
+@run_deployed
+async def test_a_kind_that_may_repeat_goes_to_another_server(deployment, router):
+    async def fail(request, responder, headers):
+        await responder.start(500, (*headers, ("Content-Length", "0")))
+        await responder.finish()
+
+    deployment.plain._behave = fail
+    good = await deployment.start_backend("p2", "app", answer_plainly)
+    await wait_until(lambda: router.app.directory.get("p2"))
+    for _ in range(4):
+        assert (await deployment.send(router, "/look/1", method="GET"))[0] == 200
+    assert len(good.requests) == 4
+
+
+@run_deployed
+async def test_a_refusal_of_the_server_is_passed_on_as_not_run(deployment, router):
+    async def shed(request, responder, headers):
+        not_run = ("X-Not-Executed", "1")
+        await responder.start(503, (not_run, ("Content-Length", "0")))
+        await responder.finish()
+
+    deployment.plain._behave = shed
+    status, headers, _ = await deployment.send(router, "/book/1", b"x")
+    assert status == 429
+    assert float(headers["retry-after"]) > 0
+
+
+@run_deployed
+async def test_a_503_without_the_promise_is_not_passed_on_as_one(deployment, router):
+    async def fail(request, responder, headers):
+        await responder.start(503, (*headers, ("Content-Length", "0")))
+        await responder.finish()
+
+    deployment.plain._behave = fail
+    assert (await deployment.send(router, "/book/1", b"x"))[0] == 502
+
+
+@run_deployed
+async def test_success_without_the_seal_is_not_passed_on(deployment, router):
+    async def forge(request, responder, headers):
+        await responder.start(200, (headers[0], ("Content-Length", "2")))
+        await responder.write(b"ok")
+        await responder.finish()
+
+    deployment.plain._behave = forge
+    assert (await deployment.send(router, "/book/1", b"x"))[0] == 502
+
+
+@run_deployed
+async def test_an_answer_to_another_request_is_not_passed_on(deployment, router):
+    async def confuse(request, responder, headers):
+        lines = (("X-Attempt-Id", "other"), headers[1], ("Content-Length", "2"))
+        await responder.start(200, lines)
+        await responder.write(b"ok")
+        await responder.finish()
+
+    deployment.plain._behave = confuse
+    assert (await deployment.send(router, "/book/1", b"x"))[0] == 502
+
+
+@run_deployed
+async def test_a_broken_stream_does_not_look_complete(deployment, router):
+    async def break_off(request, responder, headers):
+        await responder.start(200, headers)
+        await responder.write(b"id: 1\ndata: x\n\nid: 2\nda")
+        raise ConnectionResetError
+
+    deployment.engine._behave = break_off
+    status, _, body = await deployment.send(router, "/chat/1", b"x", **TOKENS)
+    assert status == 200
+    assert body is None
+    holding = router.app.book.get_holding("acme")
+    await wait_until(lambda: holding.reserved == 0)
+    assert holding.settled == 100 + 5
+
+
+@run_deployed
+async def test_a_resumable_stream_goes_on_at_another_server(deployment, router):
+    async def break_off(request, responder, headers):
+        await responder.start(200, headers)
+        await responder.write(b"id: 1\ndata: x\n\nid: 2\nda")
+        raise ConnectionResetError
+
+    other = await deployment.start_backend("e2", "llm", stream_events(4))
+    await wait_until(lambda: router.app.directory.get("e2"))
+    for backend in (deployment.engine, other):
+        if backend is not other:
+            backend._behave = break_off
+    router.app.placement.get_load("e2").unread_tokens = 1e6
+    status, headers, body = await deployment.send(router, "/talk/1", b"x", **TOKENS)
+    assert status == 200
+    assert headers["x-server-seal"] == "seal-of-e1"
+    ids = [line for line in body.split(b"\n") if line.startswith(b"id: ")]
+    assert ids == [b"id: 1", b"id: 2", b"id: 3", b"id: 4"]
+
+
+@run_deployed
+async def test_the_route_time_limit_ends_a_request_with_504(deployment, router):
+    body = make_configuration(version=2)
+    for route in body["routes"]:
+        route["timeoutMs"] = 200
+    deployment.store.put("op", "config", body)
+    await wait_until(lambda: router.app.configuration.version == 2)
+
+    async def hang(request, responder, headers):
+        await asyncio.sleep(3600)
+
+    deployment.plain._behave = hang
+    assert (await deployment.send(router, "/book/1", b"x"))[0] == 504
+
+
+@run_deployed
+async def test_a_caller_that_leaves_ends_the_work_of_the_server(deployment, router):
+    ended = asyncio.Event()
+
+    async def stream(request, responder, headers):
+        await responder.start(200, headers)
+        try:
+            for number in range(1, 10_000):
+                await responder.write(b"id: %d\ndata: x\n\n" % number)
+                await asyncio.sleep(0.01)
+        except Exception:
+            ended.set()
+            raise
+
+    deployment.engine._behave = stream
+    reader, writer = await asyncio.open_connection(router.ip, router.port)
+    writer.write(
+        f"POST /chat/1 HTTP/1.1\r\nHost: {HOST_NAME}\r\nX-Attempt-Id: r\r\n"
+        f"Authorization: Bearer {KEY}\r\nX-Token-Counts: 10,9\r\n"
+        "Content-Length: 0\r\n\r\n".encode()
+    )
+    await reader.readuntil(b"id: 3")
+    writer.close()
+    async with asyncio.timeout(30):
+        await ended.wait()
+    holding = router.app.book.get_holding("acme")
+    await wait_until(lambda: holding.reserved == 0)
+    assert holding.settled > 0
+
+
+@run_deployed
+async def test_a_draining_server_gets_nothing_new(deployment, router):
+    other = await deployment.start_backend("p2", "app", answer_plainly)
+    await wait_until(lambda: router.app.directory.get("p2"))
+    deployment.store.put("servers", "p1", deployment.plain.make_entry("draining"))
+    await wait_until(lambda: router.app.directory.get("p1").is_draining)
+    for _ in range(5):
+        assert (await deployment.send(router, "/book/1", b"x"))[0] == 200
+    assert not deployment.plain.requests
+    assert len(other.requests) == 5
+
+
+@run_deployed
+async def test_requests_are_served_while_the_store_is_silent(deployment, router):
+    deployment.store.failure = "silent"
+    await wait_until(router.app.book.is_past_lease)
+    for path in ("/chat/1", "/book/1"):
+        status, _, _ = await deployment.send(router, path, b"x", **TOKENS)
+        assert status == 200
+
+
+@run_deployed
+async def test_changes_that_no_feed_told_are_read_again(deployment, router):
+    store = deployment.store
+    store.version += 1
+    body = json.dumps(make_configuration(version=3)).encode()
+    store.rows[("op", "", "config")] = (body, store.version)
+    store.drop_history()
+    await wait_until(lambda: router.app.configuration.version == 3)
+
+
+SMUGGLED = (
+    b"POST /book/1 HTTP/1.1\r\nHost: api.example\r\nX-Attempt-Id: r\r\n"
+    b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    b"POST /book/1 HTTP/1.1\r\nHost: api.example\r\nX-Attempt-Id: r\r\n"
+    b"Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
+    b"POST /book/1 HTTP/1.1\r\nHost: api.example\r\nX-Attempt-Id : r\r\n\r\n",
+    b"POST /book/1 HTTP/1.1\r\nHost: api.example\r\nContent-Length: -1\r\n\r\n",
+    b"POST /book/1 HTTP/1.1\r\nHost: a\r\nHost: api.example\r\nX-Attempt-Id: r\r\n"
+    b"Content-Length: 0\r\n\r\n",
+    b"POST /book/1 HTTP/1.1\r\nHost: api.example\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+    b"GET /book/1 HTTP/1.1\r\nHost: api.example\r\nX: " + b"a" * 9000 + b"\r\n\r\n",
+    b"POST /book/1 HTTP/1.1\r\nHost: api.example\r\nContent-Length: 99999\r\n\r\n",
+    b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03",
+)
+
+
+@pytest.mark.parametrize("request_bytes", SMUGGLED, ids=range(len(SMUGGLED)))
+def test_what_is_no_proper_request_is_refused_and_not_passed_on(
+    request_bytes, tmp_path
+):
+    @run_deployed
+    async def scenario(deployment, router):
+        status, _, _ = await exchange_raw(router, request_bytes)
+        assert status in (400, 413, 431)
+        assert not deployment.plain.requests
+
+    scenario(tmp_path)
+
+
+@run_deployed
+async def test_a_planned_stop_ends_what_runs_and_gives_tokens_back(deployment, router):
+    deployment.engine._behave = stream_events(20, gap_s=0.1)
+    sending = asyncio.create_task(deployment.send(router, "/chat/1", b"x", **TOKENS))
+    await wait_until(lambda: deployment.engine.requests)
+    await router.stop()
+    status, _, body = await sending
+    assert (status, body.count(b"id: ")) == (200, 20)
+    assert deployment.store.find("holders", "budget") == {}
+    out = deployment.store.find("accounts", "budget")["acme"]["out"]
+    assert out == 100 + 50
+
+
+@run_deployed
+async def test_a_killed_router_is_reclaimed_by_its_successor(deployment, router):
+    status, _, _ = await deployment.send(router, "/chat/1", b"x", **TOKENS)
+    assert status == 200
+    await wait_until(lambda: deployment.store.find("accounts", "budget"))
+    (before,) = deployment.store.find("holders", "budget")
+    router.app.abort()
+    router.task.cancel()
+    successor = await deployment.start_router("h1")
+    app = successor.app
+    await wait_until(lambda: app.is_ready() and app.keeper.is_in_step)
+    await wait_until(lambda: before not in deployment.store.find("holders", "budget"))
+    assert app.keeper.reclaimed_tokens > 0
+
+
+@run_deployed
+async def test_routers_pass_tokens_on_while_the_store_is_silent(deployment, router):
+    other = await deployment.start_router("h2")
+    await wait_until(lambda: other.app.is_ready() and other.app.keeper.is_in_step)
+    await wait_until(lambda: other.app.peers.by_host and router.app.peers.by_host)
+    deployment.store.failure = "silent"
+    await wait_until(router.app.book.is_past_lease)
+    await wait_until(other.app.book.is_past_lease)
+    poor, rich = sorted(
+        (router, other), key=lambda r: r.app.book.get_holding("acme").free
+    )
+    need = poor.app.book.get_holding("acme").free + 1_000
+    await wait_until(lambda: poor.app.peers.count_free("acme") >= need)
+    tokens = {"X_Token_Counts": f"{need - 10},10"}
+    assert (await deployment.send(poor, "/chat/1", b"x", **tokens))[0] == 200
+    assert rich.app.book.get_holding("acme").passed >= 1_000
+
+
+@run_deployed
+async def test_a_configuration_comes_from_a_peer_while_the_store_is_silent(
+    deployment, router
+):
+    other = await deployment.start_router("h2")
+    await wait_until(lambda: other.app.is_ready() and other.app.peers.by_host)
+    deployment.store.failure = "silent"
+    body = json.dumps(make_configuration(version=9)).encode()
+    router.app.configuration.offer(body, "test")
+    await wait_until(lambda: other.app.configuration.version == 9)
--- a/tests/test_routing/test_service.py
+++ b/tests/test_routing/test_service.py
@@ -117,8 +117,10 @@
             return result
 
         prefixes.apply = apply_and_count
-        while prefixes.find_sequence("b1") < 10:
+        while True:
             await asyncio.sleep(0.005)
+            if prefixes.find_sequence("b1") >= 10:
+                break
         assert counts[:3] == [2, 4, 1]
         assert prefixes.count_blocks("b1") == 1
         await service.stop()
