platform: malformed input raises one kind of error; names of the wire are kept in the adapter by a test

Cause: a configuration with a wrong type in one part raised AttributeError or TypeError, and a deadline of nan or inf was taken; found by the new tests.

--- a/bronzesail/platform/_configuration.py
+++ b/bronzesail/platform/_configuration.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
@@ -15,7 +15,17 @@
     Route,
     Service,
 )
-from ._fields import MalformedError, read_int, read_text
+from ._fields import (
+    MalformedError,
+    read_entries,
+    read_int,
+    read_map,
+    read_text,
+    read_texts,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
 __all__ = ["decode_configuration"]
 
@@ -40,20 +50,24 @@
         raise MalformedError(str(error)) from error
     if not isinstance(fields, dict):
         raise MalformedError("the configuration is not a map")
-    accounts = [_decode_account(entry) for entry in fields.get("tenants") or ()]
-    services = [_decode_service(entry) for entry in fields.get("services") or ()]
+    accounts = [_decode_account(entry) for entry in read_entries(fields, "tenants")]
+    services = [_decode_service(entry) for entry in read_entries(fields, "services")]
     return Configuration(
         version=read_int(fields, "version"),
-        routes=_index_routes(_decode_route(r) for r in fields.get("routes") or ()),
+        routes=_index_routes(
+            _decode_route(entry) for entry in read_entries(fields, "routes")
+        ),
         services={service.name: service for service in services},
         accounts={account.name: account for account in accounts},
-        limits=_decode_limits(fields.get("limits") or {}),
+        limits=_decode_limits(
+            read_map(fields, "limits") if fields.get("limits") else {}
+        ),
         account_by_key={key: a for a in accounts for key in a.keys},
         encoded=body,
     )
 
 
-def _index_routes(routes: Any) -> dict[str, tuple[Route, ...]]:
+def _index_routes(routes: Iterable[Route]) -> dict[str, tuple[Route, ...]]:
     by_host: dict[str, list[Route]] = {}
     for route in routes:
         by_host.setdefault(route.host, []).append(route)
@@ -68,7 +82,8 @@
     if kind is None:
         raise MalformedError("a route has an unknown kind")
     # A route names one service, or several with weights.
-    split = fields.get("split") or [{"service": fields.get("service"), "weight": 1}]
+    split = read_entries(fields, "split")
+    split = split or [{"service": fields.get("service"), "weight": 1}]
     timeout_s = read_int(fields, "timeoutMs", 15_000) / 1000
     return Route(
         name=read_text(fields, "name"),
@@ -82,7 +97,8 @@
         is_public=fields.get("public") is True,
         is_resumable=fields.get("resumable") is True,
         services=tuple(
-            (read_text(part, "service"), float(part.get("weight", 1))) for part in split
+            (read_text(part, "service"), float(read_int(part, "weight", 1)))
+            for part in split
         ),
     )
 
@@ -91,9 +107,9 @@
     engine = fields.get("engine")
     return Service(
         name=read_text(fields, "name"),
-        health_path=fields.get("healthPath") or "/",
+        health_path=str(fields.get("healthPath") or "/"),
         max_connections=read_int(fields, "maxConns", 100),
-        engine=None if not engine else _decode_engine(engine),
+        engine=_decode_engine(read_map(fields, "engine")) if engine else None,
     )
 
 
@@ -107,13 +123,14 @@
 
 
 def _decode_account(fields: dict[str, Any]) -> ClientAccount:
-    # "reserved" is what the account has prepaid for the day, not what is set aside.
-    prepaid = fields.get("reserved")
+    has_prepaid = fields.get("reserved") is not None
+    has_priority = fields.get("priority") is not None
     return ClientAccount(
         name=read_text(fields, "name"),
-        keys=tuple(str(key) for key in fields.get("apiKeys") or ()),
-        priority=None if fields.get("priority") is None else int(fields["priority"]),
-        prepaid_tokens=None if prepaid is None else int(prepaid),
+        keys=read_texts(fields, "apiKeys"),
+        priority=read_int(fields, "priority") if has_priority else None,
+        # "reserved" is what the account has prepaid for the day, not a hold on it.
+        prepaid_tokens=read_int(fields, "reserved") if has_prepaid else None,
     )
 
 
--- a/bronzesail/platform/_fields.py
+++ b/bronzesail/platform/_fields.py
@@ -2,9 +2,18 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
-__all__ = ["MalformedError", "read_address", "read_int", "read_map", "read_text"]
+__all__ = [
+    "MalformedError",
+    "read_address",
+    "read_entries",
+    "read_int",
+    "read_map",
+    "read_text",
+    "read_texts",
+]
 
 
 class MalformedError(ValueError):
@@ -24,6 +33,8 @@
     value = fields.get(name, default)
     if isinstance(value, bool) or not isinstance(value, (int, float)):
         raise MalformedError(f"{name} is not a number")
+    if not math.isfinite(value):
+        raise MalformedError(f"{name} is not finite")
     return int(value)
 
 
@@ -35,6 +46,26 @@
     return value
 
 
+def read_entries(fields: dict[str, Any], name: str) -> list[dict[str, Any]]:
+    """Return a list of maps, empty where the field is missing."""
+    value = fields.get(name)
+    if value is None:
+        return []
+    if not isinstance(value, list) or not all(isinstance(e, dict) for e in value):
+        raise MalformedError(f"{name} is not a list of maps")
+    return value
+
+
+def read_texts(fields: dict[str, Any], name: str) -> tuple[str, ...]:
+    """Return a list of texts, empty where the field is missing."""
+    value = fields.get(name)
+    if value is None:
+        return ()
+    if not isinstance(value, list) or not all(isinstance(e, str) for e in value):
+        raise MalformedError(f"{name} is not a list of texts")
+    return tuple(value)
+
+
 def read_address(text: Any) -> tuple[str, int]:
     """Return the IP address and port of ``IP:PORT``."""
     if not isinstance(text, str):
--- a/bronzesail/platform/_requests.py
+++ b/bronzesail/platform/_requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from ..model import RequestHead
@@ -107,9 +108,12 @@
     if value is None:
         return None
     try:
-        return max(0.0, float(value) / 1000)
+        deadline_s = float(value) / 1000
     except ValueError as error:
         raise MalformedError("the deadline is not a number") from error
+    if not math.isfinite(deadline_s):
+        raise MalformedError("the deadline is not finite")
+    return max(0.0, deadline_s)
 
 
 def _read_key(value: bytes | None) -> str | None:
--- a/bronzesail/platform/_store.py
+++ b/bronzesail/platform/_store.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import base64
-import binascii
 from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
 
 import msgspec
 
 from ..model import Row, RowsAnswer
-from ._fields import MalformedError, read_int, read_text
+from ._fields import MalformedError, read_entries, read_int, read_text
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -86,7 +85,7 @@
         if not isinstance(fields, dict):
             raise MalformedError("the answer is not a map")
         return RowsAnswer(
-            rows=[_decode_row(entry) for entry in fields.get("rows") or ()],
+            rows=[_decode_row(entry) for entry in read_entries(fields, "rows")],
             has_more=fields.get("hasMore") is True,
             version=read_int(fields, "rowVersion", 0),
             # "nowMs" is the store's own steady clock, not the time of day.
@@ -101,11 +100,11 @@
 def _decode_row(fields: dict[str, Any]) -> Row:
     try:
         value = base64.b64decode(fields.get("value") or "", validate=True)
-    except (binascii.Error, TypeError, ValueError):
+    except (TypeError, ValueError):
         value = b""  # A row that cannot be read is malformed for whoever decodes it.
     return Row(
         table=read_text(fields, "table"),
-        part=fields.get("part") or "",
+        part=str(fields.get("part") or ""),
         key=read_text(fields, "key"),
         value=value,
         version=read_int(fields, "rowVersion", 0),
--- /dev/null
+++ b/tests/test_platform/test_adapter.py
@@ -0,0 +1,256 @@
+"""The adapter: each message decoded once, and nothing malformed gets through."""
+
+from __future__ import annotations
+
+import json
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis import given
+
+from bronzesail.errors import Refusal, ResultCode
+from bronzesail.model import RequestKind, RowCheck, RowKey, RowWrite
+from bronzesail.platform import (
+    AnswerHeadReader,
+    StoreWire,
+    decode_configuration,
+    decode_server,
+    decode_settings,
+    encode_forwarded_head,
+    encode_refusal_head,
+    read_request_head,
+)
+from tests.platform_standin import make_configuration
+
+ENTRY = {
+    "service": "s",
+    "address": "10.1.2.3:80",
+    "zone": "z1",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "coldLeftMs": 1500,
+    "sequence": 1,
+    "born": 1772000000000,
+}
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=8), inner)
+    ),
+    max_leaves=6,
+)
+LINES = st.lists(st.tuples(st.binary(max_size=12), st.binary(max_size=20)), max_size=5)
+
+
+def read_one(*lines):
+    return read_request_head([(b"X-Attempt-Id", b"r1"), *lines])
+
+
+def forward(head, **changes):
+    arguments = {
+        "body_bytes": None,
+        "server_id": "i-1",
+        "account": None,
+        "left_s": None,
+        "priority": None,
+        "last_event_id": None,
+    }
+    return encode_forwarded_head(b"GET", b"/", head, **{**arguments, **changes})
+
+
+def test_entry_of_a_server():
+    server = decode_server("i-1", json.dumps(ENTRY).encode())
+    assert server.address == ("10.1.2.3", 80)
+    assert (server.cold_left_s, server.is_draining) == (1.5, False)
+    assert server.born_ms == 1772000000000
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "resting"},
+        {"state": None},
+        {"service": 5},
+        {"slots": "many"},
+        {"slots": 0},
+        {"address": "10.1.2.3"},
+        {"address": "10.1.2.999:80"},
+        {"address": "10.1.2.3:0"},
+        {"zone": ""},
+    ],
+)
+def test_entry_that_names_no_server(changes):
+    with pytest.raises(ValueError):
+        decode_server("i-1", json.dumps(ENTRY | changes).encode())
+
+
+@given(st.binary(max_size=60) | JSON.map(lambda value: json.dumps(value).encode()))
+def test_bytes_that_are_no_entry_raise_only_value_errors(body):
+    for decode in (decode_configuration, lambda b: decode_server("i", b)):
+        try:
+            decode(body)
+        except ValueError:
+            continue
+
+
+@given(name=st.sampled_from(sorted(ENTRY)), value=JSON)
+def test_entry_with_one_wrong_field_raises_only_value_errors(name, value):
+    try:
+        decode_server("i-1", json.dumps(ENTRY | {name: value}).encode())
+    except ValueError:
+        pass
+
+
+@given(name=st.sampled_from(("routes", "services", "tenants", "limits")), value=JSON)
+def test_configuration_with_one_wrong_part_raises_only_value_errors(name, value):
+    body = json.dumps(make_configuration() | {name: value}).encode()
+    try:
+        decode_configuration(body)
+    except ValueError:
+        pass
+
+
+def test_configuration():
+    body = make_configuration()
+    body["routes"].append(dict(body["routes"][0], name="long", prefix="/chat/long/"))
+    body["routes"][-1]["split"] = [
+        {"service": "llm", "weight": 90},
+        {"service": "app", "weight": 10},
+    ]
+    configuration = decode_configuration(json.dumps(body).encode())
+    route = configuration.find_route("api.example", "/chat/long/x")
+    assert route.name == "long"
+    assert route.services == (("llm", 90.0), ("app", 10.0))
+    assert configuration.find_route("api.example", "/chat/x").name == "stream"
+    assert configuration.find_route("api.example", "/chatter/") is None
+    assert configuration.find_route("other.example", "/chat/x") is None
+    assert route.kind is RequestKind.STREAM
+    assert configuration.services["llm"].engine.tokens_per_event == 5
+    assert configuration.account_by_key["key-of-acme"].prepaid_tokens == 100_000
+
+
+def test_request_head():
+    head = read_one(
+        (b"X-Token-Counts", b"1460,80"),
+        (b"X-Prefix-Hash", b"5c1e07a2:800,91bd3f06:410,e4402b7d:250"),
+        (b"X-Deadline-Ms", b"1500"),
+        (b"authorization", b"Bearer abc"),
+    )
+    assert (head.prompt_tokens, head.max_output_tokens) == (1460, 80)
+    assert head.prefix[1] == ("91bd3f06", 410)
+    assert (head.deadline_s, head.key) == (1.5, "abc")
+    assert b"uthorization" not in head.forwarded
+    assert b"X-Token-Counts: 1460,80\r\n" in head.forwarded
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        (b"X-Attempt-Id", b"r2"),
+        (b"X-Token-Counts", b"-5,80"),
+        (b"X-Token-Counts", b"many"),
+        (b"X-Deadline-Ms", b"soon"),
+        (b"X-Deadline-Ms", b"nan"),
+        (b"X-Deadline-Ms", b"inf"),
+    ],
+)
+def test_malformed_request_head(line):
+    with pytest.raises(ValueError):
+        read_one(line)
+
+
+@pytest.mark.parametrize(
+    "name",
+    [
+        b"X-Tenant", b"x-expect-instance", b"X-Pin-Ms", b"X-Kv-Retention",
+        b"X-Kv-Replica", b"Kv-From", b"Kv-Fetch", b"X-Request-Priority",
+        b"X-Expect-Version", b"Transfer-Encoding", b"Content-Length", b"Connection",
+        b"Keep-Alive", b"Upgrade", b"TE",
+    ],
+)  # fmt: skip
+def test_headers_that_are_not_passed_on(name):
+    assert read_one((name, b"forged")).forwarded == b"X-Attempt-Id: r1\r\n"
+
+
+def test_headers_that_the_caller_names_for_its_connection_are_not_passed_on():
+    head = read_one((b"Connection", b"close, X-Hop"), (b"X-Hop", b"1"), (b"X-A", b"2"))
+    assert head.forwarded == b"X-Attempt-Id: r1\r\nX-A: 2\r\n"
+
+
+def test_forwarded_head():
+    lines = forward(
+        read_one(), body_bytes=3, account="acme", left_s=1.2345, priority=2,
+        last_event_id="7",
+    ).split(b"\r\n")  # fmt: skip
+    assert lines[0] == b"GET / HTTP/1.1"
+    assert set(lines[1:-2]) == {
+        b"X-Attempt-Id: r1",
+        b"X-Expect-Instance: i-1",
+        b"X-Deadline-Ms: 1234",
+        b"X-Tenant: acme",
+        b"X-Request-Priority: 2",
+        b"Last-Event-Id: 7",
+        b"Content-Length: 3",
+    }
+
+
+@given(LINES)
+def test_any_header_lines_are_read_or_refused(lines):
+    try:
+        read_one(*lines)
+    except ValueError:
+        pass
+
+
+def test_answer_head():
+    reader = AnswerHeadReader()
+    for name, value in (
+        (b"X-Attempt-Id", b"r1"),
+        (b"X-Server-Seal", b"s"),
+        (b"X-Server-Load", b"3,1,8"),
+        (b"Keep-Alive", b"timeout=5"),
+        (b"Content-Length", b"4"),
+    ):
+        reader.add(name, value)
+    head = reader.finish(200)
+    assert (head.running, head.waiting) == (3, 1)
+    assert head.is_sealed and not head.is_not_run and reader.has_length
+    assert reader.idle_timeout_s == 5.0
+    assert b"Content-Length" not in head.passed_on
+    assert b"X-Server-Seal: s\r\n" in head.passed_on
+
+
+@pytest.mark.parametrize("code", list(ResultCode))
+@pytest.mark.parametrize("is_not_run", [True, False])
+def test_a_refusal_promises_only_what_is_true(code, is_not_run):
+    status, _ = encode_refusal_head("r1", Refusal(code, is_not_run=is_not_run))
+    if not is_not_run:
+        assert status not in (408, 421, 429, 503)
+
+
+def test_transaction():
+    key = RowKey("t", "p", "k")
+    encoded = StoreWire().encode_transaction(
+        [RowCheck(key, 7)], [RowWrite(key, b"node-1")], []
+    )
+    name = {"table": "t", "part": "p", "key": "k"}
+    assert json.loads(encoded[3]) == {
+        "expectedRev": [name | {"rowVersion": 7}],
+        "write": [name | {"value": "bm9kZS0x"}],
+        "remove": [],
+    }
+
+
+@given(st.binary(max_size=60) | JSON.map(lambda value: json.dumps(value).encode()))
+def test_bytes_that_are_no_rows_raise_only_value_errors(body):
+    try:
+        StoreWire().decode_rows(body)
+    except ValueError:
+        pass
+
+
+@given(st.text(max_size=60))
+def test_text_that_is_no_settings_raises_only_value_errors(text):
+    with pytest.raises(ValueError):
+        decode_settings(text)
