--- a/bronzesail/explain/__init__.py
+++ b/bronzesail/explain/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ._decisions import Decision, DecisionLog
+from ._log_reader import RequestStory, name_cause, read_log_lines, tell_story
 from ._logs import PartLogger
 from ._metrics import Metrics
 from ._request_metrics import RequestMetrics
@@ -13,4 +14,8 @@
     "Metrics",
     "PartLogger",
     "RequestMetrics",
+    "RequestStory",
+    "name_cause",
+    "read_log_lines",
+    "tell_story",
 ]
--- a/bronzesail/router/budget_desk.py
+++ b/bronzesail/router/budget_desk.py
@@ -56,14 +56,14 @@
         self._obtaining: dict[str, asyncio.Task[None]] = {}
 
     async def reserve(
-        self, account: str, tokens: int, max_wait_s: float
+        self, account: str, tokens: int, max_wait_s: float, request_id: str
     ) -> Refusal | None:
         """Reserve tokens; return a refusal where they cannot be had in time."""
         is_first = not self._waiters.get(account)
         if is_first and self._book.try_reserve(account, tokens):
             self._renew_early(account)
             return None
-        refusal = self._judge(account, tokens)
+        refusal = self._judge(account, tokens, request_id)
         if refusal is not None:
             return refusal
         future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
@@ -78,7 +78,24 @@
             pass
         finally:
             self._leave(account, waiter)
-        return self._judge(account, tokens) or self._refuse_unreachable()
+        refusal = self._judge(account, tokens, request_id)
+        if refusal is not None:
+            return refusal
+        holding = self._book.get_holding(account)
+        self._log.write(
+            "budget: unreachable",
+            request=request_id,
+            account=account,
+            tokens=tokens,
+            free=holding.free,
+            limit_left=holding.limit - holding.spent,
+            peers_free=self._peers.count_free(account),
+            past_lease=self._book.is_past_lease(),
+            store_in_step=self._keeper.is_in_step,
+        )
+        return Refusal(
+            ResultCode.BUDGET_UNREACHABLE, is_not_run=True, retry_after_s=RETRY_AFTER_S
+        )
 
     def serve_waiters(self) -> None:
         """Reserve for the requests that wait, in their order, where they fit."""
@@ -104,7 +121,7 @@
                 # The caller left while its tokens arrived.
                 self._book.settle(account, waiter.tokens, 0)
 
-    def _judge(self, account: str, tokens: int) -> Refusal | None:
+    def _judge(self, account: str, tokens: int, request_id: str) -> Refusal | None:
         """Return the refusal of a request that nobody has the tokens for."""
         if not self._is_known(account):
             return None
@@ -115,11 +132,13 @@
             return None
         self._log.write(
             "budget: exhausted",
+            request=request_id,
             account=account,
             tokens=tokens,
             reachable=reachable,
             left_in_store=self._book.left_in_store(account),
             free=holding.free,
+            row_version=holding.version,
         )
         return Refusal(ResultCode.BUDGET_EXHAUSTED, is_not_run=True)
 
@@ -127,12 +146,6 @@
         """Whether the store's row of the account was seen a moment ago."""
         return self._keeper.has_loaded and self._keeper.is_in_step
 
-    @staticmethod
-    def _refuse_unreachable() -> Refusal:
-        return Refusal(
-            ResultCode.BUDGET_UNREACHABLE, is_not_run=True, retry_after_s=RETRY_AFTER_S
-        )
-
     def _renew_early(self, account: str) -> None:
         holding = self._book.get_holding(account)
         if self._book.count_spendable(account) < holding.largest:
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -39,6 +39,7 @@
 STREAM_SILENCE_S = 2.5  # A stream that may be resumed goes on elsewhere after this.
 NO_SERVER_RETRY_S = 1.0  # Servers come back after some seconds.
 OVERLOAD_RETRY_S = 1.0  # Spread by half of it.
+MAX_AGE_S = 1e6  # Of a load that was never told.
 LEAVING_RETRY_S = 0.05  # Another host takes the request at once.
 PRIORITY_LOWEST = 9
 
@@ -96,6 +97,8 @@
         self._stream: StreamState | None = None
         self._tried: list[str] = []
         self._code = "aborted"
+        self._token_wait_s = 0.0
+        self._place_wait_s = 0.0
         self._first_at = 0.0
         self._task = self._loop.create_task(self._run())
 
@@ -211,7 +214,11 @@
         if tokens == 0:
             return
         max_wait_s = (self._limit_at - self._loop.time()) * QUEUE_WAIT_SHARE
-        refusal = await self._services.desk.reserve(account.name, tokens, max_wait_s)
+        asked_at = self._loop.time()
+        refusal = await self._services.desk.reserve(
+            account.name, tokens, max_wait_s, self._head.request_id
+        )
+        self._token_wait_s = self._loop.time() - asked_at
         if refusal is not None:
             raise _RefusedError(refusal)
         self._reserved = tokens
@@ -237,9 +244,11 @@
             raise self._fail(ResultCode.NO_BACKEND, retry_after_s=NO_SERVER_RETRY_S)
         wait_s = (self._limit_at - self._loop.time()) * QUEUE_WAIT_SHARE
         until = self._loop.time() + wait_s
+        asked_at = self._loop.time()
         server = await self._services.line.find_place(
             self._service, self._work, self._engine, self._tried, self._rank, until
         )
+        self._place_wait_s += self._loop.time() - asked_at
         if server is not None:
             return server
         if self._services.directory.list_usable(self._service):
@@ -308,6 +317,9 @@
         self._tried.append(server.id)
         self._sends += 1
         sent_at = self._loop.time()
+        load = placement.get_load(server.id)
+        present = placement.estimate_present(server.id, sent_at)
+        load_age_s = sent_at - load.told_at
         connection.start(self._encode(server), relay)
         try:
             outcome = await self._wait_for_answer(server, relay)
@@ -330,7 +342,10 @@
             reason=outcome.reason,
             status=outcome.head.status if outcome.head else None,
             took_s=round(self._loop.time() - sent_at, 4),
-            present=placement.estimate_present(server.id, self._loop.time()),
+            present=round(present, 1),
+            load_age_s=round(load_age_s, 2) if load_age_s < MAX_AGE_S else None,
+            unread_tokens=int(unread),
+            failure_share=round(load.failure_share, 2),
         )
         return outcome
 
@@ -542,6 +557,9 @@
             route=self._route.name if self._route else None,
             account=self._account.name if self._account else None,
             config=self._services.configuration.version,
+            tokens=self._head.max_tokens if self._head else None,
+            token_wait_s=round(self._token_wait_s, 4),
+            place_wait_s=round(self._place_wait_s, 4),
             sends=self._sends,
             took_s=round(now - self._request.arrived_at, 4),
             events=self._stream.events if self._stream else None,
--- /dev/null
+++ b/tests/test_explain/test_log_reader.py
@@ -0,0 +1,73 @@
+"""A request's story is found in the lines of several routers."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from typer.testing import CliRunner
+
+from bronzesail.cmd import app
+from bronzesail.explain import read_log_lines, tell_story
+
+LINES = [
+    {"time": 10.0, "host": "h1", "message": "store: lost", "table": "op"},
+    {"time": 10.2, "host": "h2", "message": "store: lost", "table": "op"},
+    {"time": 10.4, "host": "h1", "message": "budget: holdings", "held": {}},
+    {
+        "time": 11.0,
+        "host": "h1",
+        "message": "budget: unreachable",
+        "request": "r1",
+        "account": "acme",
+    },
+    {"time": 11.05, "host": "h1", "message": "server: left alone", "server": "s9"},
+    {
+        "time": 11.1,
+        "host": "h1",
+        "message": "request: ended",
+        "request": "r1",
+        "outcome": "BZ1303",
+    },
+    {"time": 11.2, "host": "h1", "message": "store: regained", "table": "op"},
+]
+
+
+def write_lines():
+    noise = ["not json", "{broken", '{"no": "message"}']
+    return noise + [f"  11.0 h1 {json.dumps(line)}" for line in reversed(LINES)]
+
+
+def test_lines_are_sorted_and_noise_is_left_out():
+    assert read_log_lines(write_lines()) == LINES
+
+
+def test_story_holds_what_explains_it_and_no_more():
+    story = tell_story(LINES, "r1")
+    assert [line["message"] for line in story.lines] == [
+        "budget: unreachable",
+        "request: ended",
+    ]
+    assert story.context == [LINES[0]]
+    assert story.cause.startswith("Tokens may have been left")
+
+
+@pytest.mark.parametrize("source", ["file", "stdin"])
+def test_command_prints_the_story_and_its_cause(source, tmp_path):
+    text = "\n".join(write_lines())
+    path = tmp_path / "h1.log"
+    path.write_text(text)
+    if source == "file":
+        result = CliRunner().invoke(app, ["explain", "r1", "--log", str(path)])
+    else:
+        result = CliRunner().invoke(app, ["explain", "r1"], input=text)
+    assert result.exit_code == 0, result.output
+    assert "* 00:00:11.100 h1 request: ended" in result.output
+    assert "cause: Tokens may have been left" in result.output
+
+
+def test_command_refuses_an_unknown_id(tmp_path):
+    path = tmp_path / "h1.log"
+    path.write_text("\n".join(write_lines()))
+    result = CliRunner().invoke(app, ["explain", "r7", "--log", str(path)])
+    assert result.exit_code != 0
