budget: what nobody can give is refused at once, also while the store is away; no crumbs

Change: past the lease a request that all routers in reach cannot cover is refused with a time to come back; refills smaller than a usual request are not taken.

--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -121,7 +121,9 @@
         self.peers = Peers(
             loop, self.book, self.log, self._make_hello, self._take_hello
         )
-        self.desk = BudgetDesk(self.book, self.keeper, self.peers, self.store, self.log)
+        self.desk = BudgetDesk(
+            self.book, self.keeper, self.peers, self.log, self._random
+        )
         self.pool = ClientPool(loop)
         self.services = Services(
             loop=loop,
--- a/bronzesail/router/budget.py
+++ b/bronzesail/router/budget.py
@@ -349,7 +349,9 @@
         if holding.free >= below:
             return 0
         most = max(int(left * SPENDABLE_SHARE), min(left, holding.wanted))
-        return max(0, min(target - holding.free, most))
+        change = max(0, min(target - holding.free, most))
+        # Less than one request needs is left to a router that can use it.
+        return change if change >= holding.typical or holding.wanted else 0
 
     def _plan_limit(self, holding: Holding, total: int) -> int:
         """Return the limit to write; a lower one binds before it is written."""
--- a/bronzesail/router/budget_desk.py
+++ b/bronzesail/router/budget_desk.py
@@ -11,16 +11,17 @@
 from ..errors import Refusal, ResultCode
 
 if TYPE_CHECKING:
+    import random
+
     from .budget import BudgetBook
     from .budget_keeper import BudgetKeeper
     from .log import Log
     from .peers import Peers
-    from .store import StoreClient
 
 __all__ = ["BudgetDesk"]
 
 ASK_AGAIN_S = 0.15  # Peers tell what they hold every 0.4 s.
-RETRY_AFTER_S = 1.0  # The store's absences last seconds.
+RETRY_AFTER_S = (1.0, 4.0)  # Drawn between; the store's absences last seconds.
 MAX_WAIT_S = 2.5  # Tokens that have not come by then are not on their way.
 
 
@@ -35,8 +36,8 @@
 
     Parameters
     ----------
-    book, keeper, peers, store, log
-        The budgets, their keeper, the other routers, the store and the log.
+    book, keeper, peers, log, generator
+        The budgets, their keeper, the other routers, the log, random numbers.
     """
 
     def __init__(
@@ -44,14 +45,14 @@
         book: BudgetBook,
         keeper: BudgetKeeper,
         peers: Peers,
-        store: StoreClient,
         log: Log,
+        generator: random.Random,
     ) -> None:
         self._book = book
         self._keeper = keeper
         self._peers = peers
-        self._store = store
         self._log = log
+        self._random = generator
         self._waiters: dict[str, deque[_Waiter]] = {}
         self._obtaining: dict[str, asyncio.Task[None]] = {}
 
@@ -72,30 +73,15 @@
         self._start_obtaining(account)
         try:
             async with asyncio.timeout(min(max_wait_s, MAX_WAIT_S)):
-                if await future:
-                    return None
+                await future
+            return None
         except TimeoutError:
-            pass
+            if future.done() and not future.cancelled():
+                return None  # The tokens came together with the time limit.
         finally:
             self._leave(account, waiter)
         refusal = self._judge(account, tokens, request_id)
-        if refusal is not None:
-            return refusal
-        holding = self._book.get_holding(account)
-        self._log.write(
-            "budget: unreachable",
-            request=request_id,
-            account=account,
-            tokens=tokens,
-            free=holding.free,
-            limit_left=holding.limit - holding.spent,
-            peers_free=self._peers.count_free(account),
-            past_lease=self._book.is_past_lease(),
-            store_in_step=self._keeper.is_in_step,
-        )
-        return Refusal(
-            ResultCode.BUDGET_UNREACHABLE, is_not_run=True, retry_after_s=RETRY_AFTER_S
-        )
+        return refusal or self._refuse_unreachable(account, tokens, request_id)
 
     def serve_waiters(self) -> None:
         """Reserve for the requests that wait, in their order, where they fit."""
@@ -123,11 +109,13 @@
 
     def _judge(self, account: str, tokens: int, request_id: str) -> Refusal | None:
         """Return the refusal of a request that nobody has the tokens for."""
-        if not self._is_known(account):
-            return None
         holding = self._book.get_holding(account)
-        reachable = max(0, self._book.left_in_store(account)) + max(0, holding.free)
-        reachable += self._peers.count_free(account)
+        reachable = max(0, holding.free) + self._peers.count_free(account)
+        if not self._is_known():
+            if reachable >= tokens or not self._book.is_past_lease():
+                return None
+            return self._refuse_unreachable(account, tokens, request_id)
+        reachable += max(0, self._book.left_in_store(account))
         if reachable >= tokens:
             return None
         self._log.write(
@@ -142,10 +130,31 @@
         )
         return Refusal(ResultCode.BUDGET_EXHAUSTED, is_not_run=True)
 
-    def _is_known(self, account: str) -> bool:
-        """Whether the store's row of the account was seen a moment ago."""
+    def _is_known(self) -> bool:
+        """Whether the store's rows of accounts were seen a moment ago."""
         return self._keeper.has_loaded and self._keeper.is_in_step
 
+    def _refuse_unreachable(
+        self, account: str, tokens: int, request_id: str
+    ) -> Refusal:
+        holding = self._book.get_holding(account)
+        self._log.write(
+            "budget: unreachable",
+            request=request_id,
+            account=account,
+            tokens=tokens,
+            free=holding.free,
+            limit_left=holding.limit - holding.spent,
+            peers_free=self._peers.count_free(account),
+            past_lease=self._book.is_past_lease(),
+            store_in_step=self._keeper.is_in_step,
+        )
+        return Refusal(
+            ResultCode.BUDGET_UNREACHABLE,
+            is_not_run=True,
+            retry_after_s=self._random.uniform(*RETRY_AFTER_S),
+        )
+
     def _renew_early(self, account: str) -> None:
         holding = self._book.get_holding(account)
         if self._book.count_spendable(account) < holding.largest:
@@ -158,6 +167,11 @@
         self._obtaining[account] = task
         task.add_done_callback(lambda _: self._obtaining.pop(account, None))
 
+    def _can_help(self, account: str, waiters: list[_Waiter], spendable: int) -> bool:
+        """Whether what the peers hold is enough for the smallest request."""
+        smallest = min(waiter.tokens for waiter in waiters)
+        return spendable + self._peers.count_free(account) >= smallest
+
     async def _obtain(self, account: str) -> None:
         """Bring tokens in while requests wait for them."""
         while True:
@@ -174,10 +188,12 @@
             ):
                 self._keeper.request_renewal()
                 await asyncio.sleep(ASK_AGAIN_S)
-            elif shortage > 0:
+            elif shortage > 0 and self._can_help(account, waiters, spendable):
                 got = await self._peers.obtain(account, shortage, holding.demand_per_s)
                 if not got:
-                    self._keeper.request_renewal()
                     await asyncio.sleep(ASK_AGAIN_S)
+            else:
+                self._keeper.request_renewal()
+                await asyncio.sleep(ASK_AGAIN_S)
             self.serve_waiters()
             await asyncio.sleep(0)
