--- a/bronzesail/model/_types.py
+++ b/bronzesail/model/_types.py
@@ -201,6 +201,7 @@
     bounds: Bounds
     store: StoreSettings
     memory_bytes: int
+    link_mbps: float
 
     @property
     def region(self) -> str:
--- a/bronzesail/platform/_settings.py
+++ b/bronzesail/platform/_settings.py
@@ -41,6 +41,7 @@
         bounds=_decode_bounds(fields.get("bounds", {})),
         store=_decode_store(read_map(fields, "platform")),
         memory_bytes=read_int(limits, "memoryMb", 300) * 1_000_000,
+        link_mbps=float(read_int(limits, "linkMbps", 1000)),
     )
 
 
--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -8,9 +8,10 @@
 import signal
 from typing import TYPE_CHECKING
 
+import msgspec
 import uvloop
 
-from ..model import Limits
+from ..model import BackendServer, Limits
 from ..platform import SETTINGS_PATH_VARIABLE, decode_settings
 from .budget import BudgetBook, HolderRow
 from .budget_desk import BudgetDesk
@@ -20,10 +21,16 @@
 from .clocks import read_clock
 from .directory import Directory
 from .exchange import Exchange
-from .inner import CONFIGURATION_PATH, METRICS_PATH, start_inner_server
+from .inner import (
+    CONFIGURATION_PATH,
+    DIRECTORY_PATH,
+    METRICS_PATH,
+    start_inner_server,
+)
 from .log import Log
 from .metrics import Metrics
-from .peers import Hello, Peer, Peers
+from .neighbourhood import Neighbourhood
+from .peers import Hello, Peer, Peers, split_address
 from .placement import Placement
 from .poison import PoisonList
 from .services import Services
@@ -91,7 +98,7 @@
         self._exchanges: set[asyncio.Task[None]] = set()
         self._servers: list[asyncio.Server] = []
         self._fetching: asyncio.Task[None] | None = None
-        self._holder_by_host: dict[str, str] = {}
+        self._directory_seen = ""
         self._suspected: dict[str, float] = {}
         self._wire()
 
@@ -106,7 +113,12 @@
         self.directory = Directory(loop.time)
         self.placement = Placement(loop.time, settings.zone, settings.region_by_zone)
         self.line = WaitingLine(self.directory, self.placement)
-        self.book = BudgetBook(settings.host, address, read_clock)
+        self.neighbourhood = Neighbourhood(
+            settings.host, settings.zone, settings.link_mbps, loop.time
+        )
+        self.book = BudgetBook(
+            settings.host, address, read_clock, settings.zone, settings.link_mbps
+        )
         self.keeper = BudgetKeeper(
             self.book,
             self.store,
@@ -114,15 +126,28 @@
             self._key,
             self._serve_waiters,
             self._take_holder,
+            self.neighbourhood,
             self._random,
             self._started_at,
         )
         self.poison = PoisonList(loop.time)
         self.peers = Peers(
-            loop, self.book, self.log, self._make_hello, self._take_hello
+            loop,
+            self.book,
+            self.log,
+            self.neighbourhood,
+            self._make_hello,
+            self._take_hello,
+            lambda account, tokens: self.desk.note_shortage(account, tokens),
+            lambda account: self.desk.is_exhausted(account),
         )
         self.desk = BudgetDesk(
-            self.book, self.keeper, self.peers, self.log, self._random
+            self.book,
+            self.keeper,
+            self.peers,
+            self.neighbourhood,
+            self.log,
+            self._random,
         )
         self.pool = ClientPool(loop)
         self.services = Services(
@@ -139,13 +164,13 @@
             poison=self.poison,
             book=self.book,
             desk=self.desk,
-            peers=self.peers,
+            neighbourhood=self.neighbourhood,
         )
         self._server_watch = ServerWatch(
-            self.store, self.log, self.directory, self._take_servers
+            self.store, self.log, self._is_guided, self.directory, self._take_servers
         )
         self._configuration_watch = ConfigurationWatch(
-            self.store, self.log, self.configuration
+            self.store, self.log, self._is_guided, self.configuration
         )
 
     async def run(self) -> None:
@@ -181,9 +206,6 @@
         )
         await self._start_metrics()
         await self.peers.start(*self._inner_address)
-        for ip, _ in settings.seeds:
-            # Every host's routers listen on the same internal port.
-            self.peers.add_address((ip, settings.internal_ports[0]))
         self._servers.append(
             await loop.create_server(
                 lambda: CallerConnection(self, loop),
@@ -198,6 +220,7 @@
             self._server_watch.run(),
             self.keeper.run(),
             self.peers.run(),
+            self.desk.refill(),
             self._sweep(),
             self._watch_settings(),
             self._report_holdings(),
@@ -275,6 +298,8 @@
         current = self.configuration.current
         if path == CONFIGURATION_PATH and current is not None:
             return 200, current.encoded
+        if path == DIRECTORY_PATH:
+            return 200, msgspec.json.encode(self.directory.list_all())
         return 404, b""
 
     def _set_gauges(self) -> None:
@@ -302,53 +327,96 @@
         self.peers.tell()
 
     def _take_servers(self) -> None:
+        if self.neighbourhood.is_large and self.neighbourhood.find_leader() is None:
+            self.peers.tell()
         self.placement.forget(self.directory.list_ids())
         for service in self.directory.list_services():
             self.line.note_room(service)
 
     def _serve_waiters(self) -> None:
         self.desk.serve_waiters()
+        self.desk.clear_wanted()
 
     def _take_holder(self, holder: HolderRow) -> None:
-        ip, _, port = holder.address.rpartition(":")
-        self.peers.add_address((ip, int(port)))
+        self.neighbourhood.note_row(
+            holder.host, holder.zone, split_address(holder.address), holder.link_mbps
+        )
+
+    def _is_guided(self) -> bool:
+        return self.neighbourhood.find_guide() is not None
 
     def _make_hello(self) -> Hello:
         free = {
             account: self.book.count_spendable(account)
             for account in self.book.holdings
         }
-        return Hello(
+        hello = Hello(
             host=self.settings.host,
             incarnation=self.incarnation,
             address=f"{self._inner_address[0]}:{self._inner_address[1]}",
             config_version=self.configuration.version,
             holder_key=self._key,
             free={account: count for account, count in free.items() if count > 0},
-            suspects=self.poison.export(),
+            suspects=self.poison.export(self.settings.host),
+            zone=self.settings.zone,
+            link_mbps=self.settings.link_mbps,
             is_leaving=self.is_draining,
+            is_in_step=self._configuration_watch.is_in_step
+            and self._server_watch.is_in_step,
+            directory=f"{self.incarnation}.{self.directory.generation}",
         )
+        if self.neighbourhood.is_large and self.neighbourhood.find_leader() is None:
+            hosts = self.neighbourhood.list_zone_hosts()
+            hosts[self.settings.host] = self._inner_address
+            hello.zone_hosts = {h: f"{a[0]}:{a[1]}" for h, a in hosts.items()}
+        return hello
 
     def _take_hello(self, peer: Peer) -> None:
         hello = peer.hello
-        self._holder_by_host[hello.host] = hello.holder_key
-        self.poison.take_others(hello.host, hello.suspects)
-        if hello.config_version > self.configuration.version and (
-            self._fetching is None or self._fetching.done()
-        ):
+        for host, counts in hello.suspects.items():
+            if host != self.settings.host:
+                self.poison.take_others(host, counts)
+        if self._fetching is not None and not self._fetching.done():
+            return
+        if hello.config_version > self.configuration.version:
             self._fetching = self._loop.create_task(self._fetch_configuration(peer))
+            return
+        guide = self.neighbourhood.find_guide()
+        if guide is None or guide.host != hello.host:
+            self._directory_seen = ""
+        elif hello.directory != self._directory_seen:
+            self._fetching = self._loop.create_task(self._fetch_directory(peer))
 
     async def _fetch_configuration(self, peer: Peer) -> None:
-        """Take a newer configuration from a peer, in case the store is away."""
-        request = b"GET %b HTTP/1.1\r\nHost: router\r\n\r\n" % (
-            CONFIGURATION_PATH.encode()
-        )
+        """Take a newer configuration from a peer."""
+        body = await self._fetch(peer, CONFIGURATION_PATH)
+        if body is not None:
+            self.configuration.offer(body, peer.hello.host)
+
+    async def _fetch_directory(self, peer: Peer) -> None:
+        """Take the directory of the router that follows the store for this one."""
+        seen = peer.hello.directory
+        body = await self._fetch(peer, DIRECTORY_PATH)
+        if body is None:
+            return
+        try:
+            servers = msgspec.json.decode(body, type=list[BackendServer])
+        except msgspec.DecodeError as error:
+            self.log.write("peers: answer unreadable", error=str(error))
+            return
+        self._directory_seen = seen
+        for server_id in self.directory.replace(servers):
+            self.log.write("directory: server gone", server=server_id)
+        self._take_servers()
+
+    async def _fetch(self, peer: Peer, path: str) -> bytes | None:
+        request = b"GET %b HTTP/1.1\r\nHost: router\r\n\r\n" % path.encode()
         try:
             connection = self.pool.take(peer.address)
             connection = connection or await self.pool.open(peer.address)
         except ConnectError as error:
             self.log.write("peers: unreachable", peer=peer.hello.host, error=str(error))
-            return
+            return None
         call = Call(self._loop)
         connection.start(request, call)
         try:
@@ -356,10 +424,9 @@
         except OSError as error:
             connection.close()
             self.log.write("peers: no answer", peer=peer.hello.host, error=repr(error))
-            return
+            return None
         self.pool.give_back(connection)
-        if head.status == 200:
-            self.configuration.offer(body, peer.hello.host)
+        return body if head.status == 200 else None
 
     # Regular work.
 
@@ -457,8 +524,6 @@
         self.settings = settings
         self.services.settings = settings
         self.store.settings = settings
-        for ip, _ in settings.seeds:
-            self.peers.add_address((ip, settings.internal_ports[0]))
         self.log.write("settings: reloaded")
 
     # Stop.
--- a/bronzesail/router/budget.py
+++ b/bronzesail/router/budget.py
@@ -57,6 +57,8 @@
     stamp_s: float  # By the store's clock, when the row was written at the latest.
     sequence: int
     held: dict[str, tuple[int, int]]  # Account to tokens held and spending limit.
+    zone: str = ""
+    link_mbps: float = 0.0
 
 
 @attrs.define(kw_only=True)
@@ -116,9 +118,22 @@
         Where other routers reach this one.
     now : callable
         Seconds on a clock that also counts while the machine is suspended.
+    zone : str
+        The host's data centre.
+    link_mbps : float
+        Bandwidth of the host's link, in Mbit/s.
     """
 
-    def __init__(self, host: str, address: str, now: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        host: str,
+        address: str,
+        now: Callable[[], float],
+        zone: str = "",
+        link_mbps: float = 0.0,
+    ) -> None:
+        self._zone = zone
+        self._link_mbps = link_mbps
         self.host = host
         self._address = address
         self.now = now
@@ -181,8 +196,11 @@
             surplus = (reserved - used) / DEMAND_WINDOW_S
             holding.demand_per_s = max(0.0, holding.demand_per_s - surplus)
 
-    def pass_on(self, account: str, want: int) -> int:
-        """Give up to `want` tokens to another router; return how many."""
+    def pass_on(self, account: str, want: int, *, is_banker: bool = False) -> int:
+        """Give up to `want` tokens to another router; return how many.
+
+        What a banker gives counts as its own demand, so that it refills for others.
+        """
         holding = self.holdings.get(account)
         if holding is None or want <= 0:
             return 0
@@ -191,6 +209,9 @@
         own = int(min(holding.demand_per_s * OWN_AHEAD_S, spendable / 2))
         given = max(0, min(want, spendable - own))
         holding.passed += given
+        if is_banker:
+            holding.demand_per_s += given / DEMAND_WINDOW_S
+            holding.typical += (want - holding.typical) * TYPICAL_WEIGHT
         return given
 
     def take_all(self, account: str) -> int:
@@ -315,6 +336,8 @@
             stamp_s=self._stamp_s,
             sequence=self._sequence,
             held=held,
+            zone=self._zone,
+            link_mbps=self._link_mbps,
         )
         attempt = Attempt(
             base_version=self.row_version,
--- a/bronzesail/router/budget_desk.py
+++ b/bronzesail/router/budget_desk.py
@@ -16,11 +16,15 @@
     from .budget import BudgetBook
     from .budget_keeper import BudgetKeeper
     from .log import Log
+    from .neighbourhood import Neighbourhood
     from .peers import Peers
 
 __all__ = ["BudgetDesk"]
 
 ASK_AGAIN_S = 0.15  # Peers tell what they hold every 0.4 s.
+REFILL_S = 0.3  # Between looks at what is held ahead of demand in a large fleet.
+REFILL_BELOW_S = 2.0  # Demand held ahead; a banker answers within milliseconds.
+EXHAUSTED_S = 0.5  # For so long a banker's word holds that nobody has tokens.
 RETRY_AFTER_S = (1.0, 4.0)  # Drawn between; the store's absences last seconds.
 MAX_WAIT_S = 2.5  # Tokens that have not come by then are not on their way.
 
@@ -36,8 +40,9 @@
 
     Parameters
     ----------
-    book, keeper, peers, log, generator
-        The budgets, their keeper, the other routers, the log, random numbers.
+    book, keeper, peers, neighbourhood, log, generator
+        The budgets, their keeper, the other routers and their roles, the log, random
+        numbers.
     """
 
     def __init__(
@@ -45,16 +50,19 @@
         book: BudgetBook,
         keeper: BudgetKeeper,
         peers: Peers,
+        neighbourhood: Neighbourhood,
         log: Log,
         generator: random.Random,
     ) -> None:
         self._book = book
         self._keeper = keeper
         self._peers = peers
+        self._neighbourhood = neighbourhood
         self._log = log
         self._random = generator
         self._waiters: dict[str, deque[_Waiter]] = {}
         self._obtaining: dict[str, asyncio.Task[None]] = {}
+        self._exhausted_until: dict[str, float] = {}
 
     async def reserve(
         self, account: str, tokens: int, max_wait_s: float, request_id: str
@@ -111,12 +119,14 @@
         """Return the refusal of a request that nobody has the tokens for."""
         holding = self._book.get_holding(account)
         reachable = max(0, holding.free) + self._peers.count_free(account)
-        if not self._is_known():
+        if self._neighbourhood.rank_bankers(account):
+            if self._exhausted_until.get(account, 0.0) < self._book.now():
+                return None
+        elif not self._is_known():
             if reachable >= tokens or not self._book.is_past_lease():
                 return None
             return self._refuse_unreachable(account, tokens, request_id)
-        reachable += max(0, self._book.left_in_store(account))
-        if reachable >= tokens:
+        elif reachable + max(0, self._book.left_in_store(account)) >= tokens:
             return None
         self._log.write(
             "budget: exhausted",
@@ -167,8 +177,60 @@
         self._obtaining[account] = task
         task.add_done_callback(lambda _: self._obtaining.pop(account, None))
 
+    def _is_worth_renewing(self, account: str, need: int) -> bool:
+        """Whether the store can give tokens, or a higher limit."""
+        if not self._keeper.is_in_step:
+            return False
+        if self._book.get_holding(account).free >= need:
+            return True
+        if self._neighbourhood.rank_bankers(account):
+            return False
+        return self._book.left_in_store(account) > 0
+
+    async def _ask_peers(self, account: str, shortage: int) -> int:
+        demand_per_s = self._book.get_holding(account).demand_per_s
+        got, is_exhausted = await self._peers.obtain(account, shortage, demand_per_s)
+        if is_exhausted:
+            self._exhausted_until[account] = self._book.now() + EXHAUSTED_S
+        return got
+
+    def is_exhausted(self, account: str) -> bool:
+        """Whether nobody has tokens of an account, as far as this router knows."""
+        if not self._is_known() or self._neighbourhood.rank_bankers(account):
+            return False
+        holding = self._book.get_holding(account)
+        reachable = max(0, holding.free) + self._peers.count_free(account)
+        return reachable + max(0, self._book.left_in_store(account)) < holding.typical
+
+    def note_shortage(self, account: str, tokens: int) -> None:
+        """Refill for another router, whose banker this one is."""
+        holding = self._book.get_holding(account)
+        holding.wanted = max(holding.wanted, tokens)
+        self._keeper.request_renewal()
+
+    def clear_wanted(self) -> None:
+        """Take it that a renewal has brought in what was wanted, or could not."""
+        for account, holding in self._book.holdings.items():
+            if holding.wanted and account not in self._waiters:
+                holding.wanted = 0
+
+    async def refill(self) -> None:
+        """Ask bankers ahead of demand, until cancelled."""
+        while True:
+            await asyncio.sleep(REFILL_S)
+            for account, holding in list(self._book.holdings.items()):
+                if not self._neighbourhood.rank_bankers(account):
+                    continue
+                low = max(holding.demand_per_s * REFILL_BELOW_S, holding.typical)
+                if holding.demand_per_s < 1.0 or holding.free >= low:
+                    continue
+                if account not in self._obtaining:
+                    await self._ask_peers(account, int(low))
+
     def _can_help(self, account: str, waiters: list[_Waiter], spendable: int) -> bool:
         """Whether what the peers hold is enough for the smallest request."""
+        if self._neighbourhood.rank_bankers(account):
+            return True  # The banker refills for what it cannot give.
         smallest = min(waiter.tokens for waiter in waiters)
         return spendable + self._peers.count_free(account) >= smallest
 
@@ -183,13 +245,11 @@
             spendable = max(0, self._book.count_spendable(account))
             shortage = need - spendable
             holding.wanted = need
-            if self._keeper.is_in_step and (
-                self._book.left_in_store(account) > 0 or holding.free >= need
-            ):
+            if self._is_worth_renewing(account, need):
                 self._keeper.request_renewal()
                 await asyncio.sleep(ASK_AGAIN_S)
             elif shortage > 0 and self._can_help(account, waiters, spendable):
-                got = await self._peers.obtain(account, shortage, holding.demand_per_s)
+                got = await self._ask_peers(account, shortage)
                 if not got:
                     await asyncio.sleep(ASK_AGAIN_S)
             else:
--- a/bronzesail/router/budget_keeper.py
+++ b/bronzesail/router/budget_keeper.py
@@ -18,6 +18,7 @@
 
     from ..model import Row
     from .log import Log
+    from .neighbourhood import Neighbourhood
     from .store import StoreClient
 
 __all__ = ["ACCOUNT_TABLE", "HOLDER_TABLE", "PART", "BudgetKeeper"]
@@ -26,6 +27,7 @@
 HOLDER_TABLE = "holders"
 PART = "budget"  # One part, since a transaction spans one part only.
 RENEWAL_S = 0.25  # Several within the lease of 1.9 s, also after one lost answer.
+RENEWALS_PER_S = 150  # Of all routers; a part of the store takes 200 a second.
 URGENT_GAP_S = 0.03  # Between two renewals that requests wait for.
 MAX_CONFLICTS = 4  # Immediate retries after a conflict with another router.
 ANNOUNCE_S = 0.7  # All machines start within 0.3 s of each other.
@@ -58,6 +60,8 @@
         Called after tokens may have arrived.
     on_holder : callable
         Called with each row of a process that is read.
+    neighbourhood : Neighbourhood
+        Says which accounts this router refills from the store.
     generator : random.Random
         Source of random numbers.
     started_at : float
@@ -72,6 +76,7 @@
         key: str,
         on_change: Callable[[], None],
         on_holder: Callable[[HolderRow], None],
+        neighbourhood: Neighbourhood,
         generator: random.Random,
         started_at: float,
     ) -> None:
@@ -81,10 +86,12 @@
         self._key = key
         self._on_change = on_change
         self._on_holder = on_holder
+        self._neighbourhood = neighbourhood
         self._random = generator
         self._wanted = asyncio.Event()
         self._dead: dict[str, _Dead] = {}
         self.host_count = 1
+        self.sharer_count = 1  # Routers that refill the same account.
         self.has_loaded = False
         self.is_in_step = False
         self.reclaimed_tokens = 0
@@ -114,8 +121,9 @@
                     await self._look()
             gap_s = URGENT_GAP_S if done else RETRY_S
             await asyncio.sleep(gap_s)
+            renewal_s = max(RENEWAL_S, self.host_count / RENEWALS_PER_S)
             try:
-                async with asyncio.timeout(RENEWAL_S - gap_s):
+                async with asyncio.timeout(renewal_s - gap_s):
                     await self._wanted.wait()
             except TimeoutError:
                 pass
@@ -167,7 +175,11 @@
                 continue
             holders[row.key] = (holder, row.version)
             self._on_holder(holder)
-        self.host_count = max(1, len({holder.host for holder, _ in holders.values()}))
+        rows = [holder for holder, _ in holders.values()]
+        self.host_count = max(1, len({row.host for row in rows}))
+        self.sharer_count = self.host_count
+        if self._neighbourhood.is_large:
+            self.sharer_count = max(1, len({row.zone for row in rows}))
         return holders
 
     async def load(self) -> bool:
@@ -198,7 +210,8 @@
         row is renewed alone, so that its stamp does not age, and then a part of the
         accounts is tried, more of them after each success.
         """
-        changed: list[str] | None = None
+        accounts = self._list_banked()
+        changed = accounts
         for _ in range(MAX_CONFLICTS):
             outcome = await self._renew_once(changed)
             if outcome is False:
@@ -207,12 +220,11 @@
                 if await self.renew_row() is False:
                     outcome = False
                     break
-                accounts = list(self.book.prepaid)
-                changed = self._random.sample(accounts, max(1, len(accounts) // 2))
+                changed = self._random.sample(accounts, (len(accounts) + 1) // 2)
                 continue
-            if changed is None and not self.book.is_stamp_old():
+            if changed is accounts and not self.book.is_stamp_old():
                 break
-            changed = None
+            changed = accounts
         else:
             outcome = True
         if outcome != self.is_in_step:
@@ -222,13 +234,21 @@
         self._on_change()
         return bool(outcome)
 
+    def _list_banked(self) -> list[str]:
+        """Return the accounts that this router refills from the store."""
+        return [
+            account
+            for account in self.book.prepaid
+            if not self._neighbourhood.rank_bankers(account)
+        ]
+
     async def renew_row(self) -> bool | None:
         """Renew this process's row without any change of what it holds."""
         return await self._renew_once([])
 
-    async def _renew_once(self, changed: list[str] | None) -> bool | None:
+    async def _renew_once(self, changed: list[str]) -> bool | None:
         clock_s = self._store.clock.read_earliest(self.book.now())
-        attempt = self.book.plan(clock_s, self.host_count, changed)
+        attempt = self.book.plan(clock_s, self.sharer_count, changed)
         return await self._transact(attempt)
 
     async def give_back(self, *, is_final: bool) -> bool:
--- a/bronzesail/router/directory.py
+++ b/bronzesail/router/directory.py
@@ -86,6 +86,10 @@
             if server.service == service and not server.is_draining
         ]
 
+    def list_all(self) -> list[BackendServer]:
+        """Return all servers."""
+        return list(self._servers.values())
+
     def list_ids(self) -> list[str]:
         """Return the ids of all servers."""
         return list(self._servers)
--- a/bronzesail/router/inner.py
+++ b/bronzesail/router/inner.py
@@ -11,9 +11,16 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ["CONFIGURATION_PATH", "METRICS_PATH", "InnerServer", "start_inner_server"]
+__all__ = [
+    "CONFIGURATION_PATH",
+    "DIRECTORY_PATH",
+    "METRICS_PATH",
+    "InnerServer",
+    "start_inner_server",
+]
 
 CONFIGURATION_PATH = "/configuration"
+DIRECTORY_PATH = "/directory"
 METRICS_PATH = "/metrics"
 IDLE_S = 30.0  # Askers come every second, or never again.
 
--- a/bronzesail/router/peers.py
+++ b/bronzesail/router/peers.py
@@ -14,13 +14,16 @@
 import attrs
 import msgspec
 
+from .neighbourhood import Neighbour
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from .budget import BudgetBook
     from .log import Log
+    from .neighbourhood import Neighbourhood
 
-__all__ = ["Ask", "Gift", "GiftTaken", "Hello", "Peer", "Peers"]
+__all__ = ["Ask", "Gift", "GiftTaken", "Hello", "Peer", "Peers", "split_address"]
 
 HELLO_S = 0.4  # News within half a second; 300 bytes each.
 FORGET_S = 1.5  # A peer unheard for this long is not asked for tokens.
@@ -31,6 +34,16 @@
 MAX_DATAGRAM = 60_000
 
 
+def split_address(text: str) -> tuple[str, int]:
+    """Return IP address and port.
+
+    >>> split_address("10.0.0.1:80")
+    ('10.0.0.1', 80)
+    """
+    ip, _, port = text.rpartition(":")
+    return ip, int(port)
+
+
 class Hello(msgspec.Struct, tag="hello"):
     """A router tells that it is there."""
 
@@ -40,8 +53,13 @@
     config_version: int
     holder_key: str
     free: dict[str, int]
-    suspects: dict[str, int]
+    suspects: dict[str, dict[str, int]]  # By the host that counted them.
+    zone: str = ""
+    link_mbps: float = 0.0
     is_leaving: bool = False
+    is_in_step: bool = False
+    directory: str = ""  # Names the state of the directory, to see when it changes.
+    zone_hosts: dict[str, str] = {}  # A leader's neighbours, with their addresses.
 
 
 class Ask(msgspec.Struct, tag="ask"):
@@ -59,6 +77,7 @@
     ask: str
     account: str
     tokens: int
+    is_exhausted: bool = False  # The giver knows that nobody has more.
 
 
 class GiftTaken(msgspec.Struct, tag="taken"):
@@ -87,10 +106,16 @@
         The budgets.
     log : Log
         Where decisions are written.
+    neighbourhood : Neighbourhood
+        Says who is told news and who is asked for tokens.
     make_hello : callable
         Returns the news to send.
     on_hello : callable
         Called with each peer's news.
+    on_shortage : callable
+        Called with an account and the tokens that a banker could not give.
+    is_exhausted : callable
+        Tells whether nobody has tokens of an account, as far as known.
     """
 
     def __init__(
@@ -98,18 +123,23 @@
         loop: asyncio.AbstractEventLoop,
         book: BudgetBook,
         log: Log,
+        neighbourhood: Neighbourhood,
         make_hello: Callable[[], Hello],
         on_hello: Callable[[Peer], None],
+        on_shortage: Callable[[str, int], None],
+        is_exhausted: Callable[[str], bool],
     ) -> None:
         self._loop = loop
         self._book = book
         self._log = log
+        self._neighbourhood = neighbourhood
         self._make_hello = make_hello
         self._on_hello = on_hello
+        self._on_shortage = on_shortage
+        self._is_exhausted = is_exhausted
         self._transport: asyncio.DatagramTransport | None = None
-        self._addresses: set[tuple[str, int]] = set()
         self._sequence = itertools.count(1)
-        self._asks: dict[str, asyncio.Future[int]] = {}
+        self._asks: dict[str, asyncio.Future[Gift]] = {}
         self._given: dict[str, tuple[float, Gift]] = {}
         self._taken: dict[str, float] = {}
         self._confirmations: dict[str, asyncio.Future[None]] = {}
@@ -130,11 +160,6 @@
         if self._transport is not None:
             self._transport.close()
 
-    def add_address(self, address: tuple[str, int]) -> None:
-        """Tell news to a router that may be at `address`."""
-        if address != self._own_address:
-            self._addresses.add(address)
-
     async def run(self) -> None:
         """Tell news until cancelled."""
         while True:
@@ -145,7 +170,7 @@
     def tell(self) -> None:
         """Tell news now."""
         hello = msgspec.msgpack.encode(self._make_hello())
-        for address in self._addresses:
+        for address in self._neighbourhood.list_targets():
             self._send(hello, address)
 
     def list_live(self) -> list[Peer]:
@@ -161,25 +186,49 @@
         """Return the tokens that live peers hold, as last told."""
         return sum(peer.hello.free.get(account, 0) for peer in self.list_live())
 
-    async def obtain(self, account: str, shortage: int, demand_per_s: float) -> int:
-        """Ask peers for tokens until the shortage is covered; return what came."""
+    async def obtain(
+        self, account: str, shortage: int, demand_per_s: float
+    ) -> tuple[int, bool]:
+        """Ask others for tokens until the shortage is covered.
+
+        Returns
+        -------
+        tuple of (int, bool)
+            The tokens that came, and whether a banker knows that nobody has more.
+        """
         want = shortage + int(demand_per_s * WANT_AHEAD_S)
         got = 0
-        peers = [p for p in self.list_live() if p.hello.free.get(account, 0) > 0]
-        peers.sort(key=lambda peer: -peer.hello.free[account])
-        for peer in peers[:MAX_ASKS]:
-            if got >= shortage:
-                break
-            tokens = await self._ask(peer, account, want - got)
-            got += tokens
+        for host, address in self._list_givers(account)[:MAX_ASKS]:
+            gift = await self._ask(address, account, want - got)
+            if gift is None:
+                continue
+            got += gift.tokens
             self._log.write(
                 "budget: tokens asked of a peer",
                 account=account,
-                peer=peer.hello.host,
-                want=want - got,
-                got=tokens,
+                peer=host,
+                want=want - got + gift.tokens,
+                got=gift.tokens,
             )
-        return got
+            if got >= shortage:
+                return got, False
+            if gift.is_exhausted:
+                return got, True
+        return got, False
+
+    def _list_givers(self, account: str) -> list[tuple[str, tuple[str, int]]]:
+        """Return host and address of those to ask, in their order."""
+        bankers = self._neighbourhood.rank_bankers(account)
+        if bankers:
+            return [(banker.host, banker.address) for banker in bankers[:2]]
+        peers = [p for p in self.list_live() if p.hello.free.get(account, 0) > 0]
+        peers.sort(key=lambda peer: -peer.hello.free[account])
+        givers = [(peer.hello.host, peer.address) for peer in peers]
+        for peer in peers[:MAX_ASKS]:
+            peer.hello.free.pop(account, None)
+        if self._neighbourhood.is_large:
+            givers = givers[:2] + self._neighbourhood.find_other_bankers(account)
+        return givers
 
     async def give_away(self, account: str, tokens: int) -> bool:
         """Pass tokens on to some peer before this process ends."""
@@ -200,21 +249,22 @@
             return False
         return False
 
-    async def _ask(self, peer: Peer, account: str, want: int) -> int:
+    async def _ask(
+        self, address: tuple[str, int], account: str, want: int
+    ) -> Gift | None:
         ask = Ask(self._make_id(), account, want)
-        future: asyncio.Future[int] = self._loop.create_future()
+        future: asyncio.Future[Gift] = self._loop.create_future()
         self._asks[ask.id] = future
         encoded = msgspec.msgpack.encode(ask)
-        peer.hello.free.pop(account, None)
         try:
             for _ in range(2):
-                self._send(encoded, peer.address)
+                self._send(encoded, address)
                 try:
                     async with asyncio.timeout(ASK_TIMEOUT_S):
                         return await asyncio.shield(future)
                 except TimeoutError:
                     continue
-            return 0
+            return None
         finally:
             # An answer that comes later is taken in all the same.
             self._loop.call_later(FORGET_S, self._asks.pop, ask.id, None)
@@ -252,7 +302,18 @@
         self._log.write("peers: datagram refused", error=repr(exc))
 
     def _take_hello(self, hello: Hello, address: tuple[str, int]) -> None:
-        self.add_address(address)
+        self._neighbourhood.note_hello(
+            Neighbour(
+                host=hello.host,
+                zone=hello.zone,
+                address=address,
+                link_mbps=hello.link_mbps,
+                heard_at=self._loop.time(),
+                is_leaving=hello.is_leaving,
+                is_in_step=hello.is_in_step,
+            ),
+            {host: split_address(text) for host, text in hello.zone_hosts.items()},
+        )
         peer = Peer(hello=hello, address=address, heard_at=self._loop.time())
         before = self.by_host.get(hello.host)
         if before is None or before.hello.incarnation != hello.incarnation:
@@ -265,8 +326,12 @@
     def _answer(self, ask: Ask, address: tuple[str, int]) -> None:
         known = self._given.get(ask.id)
         if known is None:
-            tokens = self._book.pass_on(ask.account, ask.want)
-            gift = Gift(self._make_id(), ask.id, ask.account, tokens)
+            is_banker = self._neighbourhood.is_large
+            tokens = self._book.pass_on(ask.account, ask.want, is_banker=is_banker)
+            is_exhausted = tokens < ask.want and self._is_exhausted(ask.account)
+            gift = Gift(self._make_id(), ask.id, ask.account, tokens, is_exhausted)
+            if tokens < ask.want and is_banker:
+                self._on_shortage(ask.account, ask.want - tokens)
             known = self._given[ask.id] = (self._loop.time(), gift)
             if tokens:
                 self._log.write(
@@ -285,14 +350,14 @@
         self._book.receive(gift.account, gift.tokens)
         future = self._asks.get(gift.ask)
         if future is not None and not future.done():
-            future.set_result(gift.tokens)
+            future.set_result(gift)
 
     def _forget_old(self) -> None:
         now = self._loop.time()
+        self._neighbourhood.forget_old()
         for host, peer in list(self.by_host.items()):
             if now - peer.heard_at > DROP_S:
                 del self.by_host[host]
-                self._addresses.discard(peer.address)
         for key, (at, _) in list(self._given.items()):
             if now - at > DROP_S:
                 del self._given[key]
--- a/bronzesail/router/poison.py
+++ b/bronzesail/router/poison.py
@@ -58,10 +58,16 @@
         """Whether a request has crashed servers too often to be sent again."""
         return self.count(fingerprint) >= MAX_CRASHES
 
-    def export(self) -> dict[str, int]:
-        """Return this router's own counts, for the others."""
-        self._expire(self._own)
-        return {key: count for key, (count, _) in self._own.items()}
+    def export(self, host: str) -> dict[str, dict[str, int]]:
+        """Return all counts by the host that made them, this one's as `host`."""
+        counts = {**self._others, host: self._own}
+        for entries in counts.values():
+            self._expire(entries)
+        return {
+            name: {key: count for key, (count, _) in entries.items()}
+            for name, entries in counts.items()
+            if entries
+        }
 
     def take_others(self, host: str, counts: dict[str, int]) -> None:
         """Take another router's counts; one that is gone keeps what it told."""
@@ -71,7 +77,8 @@
         now = self._now()
         for fingerprint, count in counts.items():
             before = known.get(fingerprint, (0, 0.0))[0]
-            known[fingerprint] = (max(before, count), now)
+            if count > before:
+                known[fingerprint] = (count, now)
         self._expire(known)
 
     def _expire(self, counts: dict[str, tuple[int, float]]) -> None:
--- a/bronzesail/router/services.py
+++ b/bronzesail/router/services.py
@@ -15,7 +15,7 @@
 from .directory import Directory
 from .log import Log
 from .metrics import Metrics
-from .peers import Peers
+from .neighbourhood import Neighbourhood
 from .placement import Placement
 from .poison import PoisonList
 from .retry_budget import RetryBudget
@@ -48,7 +48,7 @@
     poison: PoisonList
     book: BudgetBook
     desk: BudgetDesk
-    peers: Peers
+    neighbourhood: Neighbourhood
     _retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     _probed_at: dict[str, float] = attrs.field(factory=dict)
 
@@ -64,7 +64,7 @@
 
     def count_hosts(self) -> int:
         """Return how many routers share the fleet's limits."""
-        return 1 + len(self.peers.by_host)
+        return self.neighbourhood.count_hosts()
 
     def note_unreachable(self, server: BackendServer, reason: str) -> None:
         """Leave a server alone until a connection to it comes about."""
--- a/bronzesail/router/watches.py
+++ b/bronzesail/router/watches.py
@@ -27,6 +27,7 @@
 SERVER_WAIT_S = 1.0  # A server's leaving binds within drainMs, 3 s.
 SERVER_GAP_S = 0.35  # Joins heartbeats, each of which changes an entry, into one call.
 RETRY_S = 0.25  # Between calls to a store that does not answer.
+GUIDED_S = 0.2  # Between looks whether another router still follows the store.
 READ_AGAIN_S = 6.0  # A feed that hears nothing is found out by a read.
 
 
@@ -77,9 +78,12 @@
     wait_s = 1.0
     gap_s = 0.0
 
-    def __init__(self, store: StoreClient, log: Log) -> None:
+    def __init__(
+        self, store: StoreClient, log: Log, is_guided: Callable[[], bool]
+    ) -> None:
         self._store = store
         self._log = log
+        self._is_guided = is_guided
         self.is_in_step = False
         self.has_loaded = False
 
@@ -87,6 +91,11 @@
         """Follow the table until cancelled."""
         loop = asyncio.get_running_loop()
         while True:
+            if self._is_guided():
+                # Another router of the data centre follows the store for this one.
+                self._note_step(False, "guided")
+                await asyncio.sleep(GUIDED_S)
+                continue
             try:
                 answer = await self._store.read_table(self.table)
                 read_at = loop.time()
@@ -94,7 +103,7 @@
                 self._take_all(answer.rows)
                 self.has_loaded = True
                 version = answer.version
-                while loop.time() - read_at < READ_AGAIN_S:
+                while loop.time() - read_at < READ_AGAIN_S and not self._is_guided():
                     change = await self._store.watch(self.table, version, self.wait_s)
                     self._take_changes(change.rows)
                     version = max(version, change.version)
@@ -132,9 +141,13 @@
     wait_s = CONFIGURATION_WAIT_S
 
     def __init__(
-        self, store: StoreClient, log: Log, keeper: ConfigurationKeeper
+        self,
+        store: StoreClient,
+        log: Log,
+        is_guided: Callable[[], bool],
+        keeper: ConfigurationKeeper,
     ) -> None:
-        super().__init__(store, log)
+        super().__init__(store, log, is_guided)
         self._keeper = keeper
 
     def _take_all(self, rows: list[Row]) -> None:
@@ -157,10 +170,11 @@
         self,
         store: StoreClient,
         log: Log,
+        is_guided: Callable[[], bool],
         directory: Directory,
         on_change: Callable[[], None],
     ) -> None:
-        super().__init__(store, log)
+        super().__init__(store, log, is_guided)
         self._directory = directory
         self._on_change = on_change
 
--- a/tests/test_router/test_budget_desk.py
+++ b/tests/test_router/test_budget_desk.py
@@ -12,6 +12,7 @@
 from bronzesail.errors import ResultCode
 from bronzesail.router.budget import LEASE_S, BudgetBook
 from bronzesail.router.budget_desk import BudgetDesk
+from bronzesail.router.neighbourhood import Neighbourhood
 from tests.router_fakes import SilentLog
 
 
@@ -28,12 +29,19 @@
             has_loaded=True, is_in_step=is_in_step, request_renewal=lambda: None
         )
         peers = SimpleNamespace(count_free=lambda _: peers_free, obtain=self.obtain)
-        self.desk = BudgetDesk(self.book, keeper, peers, self.log, random.Random(1))
+        self.desk = BudgetDesk(
+            self.book,
+            keeper,
+            peers,
+            Neighbourhood("h1", "z1", 1000.0, lambda: self.time),
+            self.log,
+            random.Random(1),
+        )
 
     async def obtain(self, account, shortage, demand_per_s):
         self.asked += 1
         self.book.receive(account, shortage)
-        return shortage
+        return shortage, False
 
     def give(self, tokens):
         self.book.receive("a", tokens)
--- a/tests/test_router/test_budget_machine.py
+++ b/tests/test_router/test_budget_machine.py
@@ -14,6 +14,7 @@
 from bronzesail.model import RowKey
 from bronzesail.router.budget import BudgetBook
 from bronzesail.router.budget_keeper import HOLDER_TABLE, PART, BudgetKeeper
+from bronzesail.router.neighbourhood import Neighbourhood
 from tests.router_fakes import FakeClock, FakeRows, FakeStoreClient, Mode, SilentLog
 
 HOSTS = ("h1", "h2", "h3")
@@ -70,6 +71,7 @@
             key,
             lambda: None,
             lambda row: None,
+            Neighbourhood(host, "z1", 1000.0, lambda: self.time),
             self.random,
             self.time,
         )
@@ -152,6 +154,7 @@
             found = self.rows.rows.get(RowKey(HOLDER_TABLE, PART, process.key))
             if found is None or not other.keeper.has_loaded:
                 continue
+            other.client.modes.clear()
             holders = self.run(other.keeper.read_holders())
             row, version = holders[process.key]
             dead_by_s = self.time + CLOCK_ERROR_S
