budget: bankers refill by demand only

Cause: first shares went to every router that was banker for a moment: 1.5 of 4.5 million tokens of one account stranded.

--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -335,7 +335,6 @@
 
     def _serve_waiters(self) -> None:
         self.desk.serve_waiters()
-        self.desk.clear_wanted()
 
     def _take_holder(self, holder: HolderRow) -> None:
         self.neighbourhood.note_row(
--- a/bronzesail/router/budget.py
+++ b/bronzesail/router/budget.py
@@ -211,7 +211,6 @@
         holding.passed += given
         if is_banker:
             holding.demand_per_s += given / DEMAND_WINDOW_S
-            holding.typical += (want - holding.typical) * TYPICAL_WEIGHT
         return given
 
     def take_all(self, account: str) -> int:
@@ -270,7 +269,8 @@
         clock_s : float
             The store's clock, at the latest.
         hosts : int
-            How many routers share the budgets.
+            How many routers share the budgets; 0 where nothing is taken before there
+            is demand.
         changed : container of str, optional
             The accounts whose holdings may change; all by default.
         """
@@ -362,7 +362,7 @@
             return -min(-left, max(0, holding.free))
         demand = holding.demand_per_s
         is_scarce = left < prepaid * SCARCE_SHARE
-        first = int(prepaid * FIRST_SHARE / max(hosts, 1))
+        first = int(prepaid * FIRST_SHARE / hosts) if hosts else 0
         is_unused = holding.settled == 0 and not is_scarce
         floor = max(first if is_unused else 0, int(holding.largest))
         target = max(int(demand * HOLD_AHEAD_S), floor, holding.wanted)
@@ -393,6 +393,7 @@
             holding = self.get_holding(account)
             if change > 0:
                 holding.granted += change
+                holding.wanted = 0
             if version >= holding.version:
                 holding.version = version
                 holding.out = attempt.accounts[account][1]
--- a/bronzesail/router/budget_desk.py
+++ b/bronzesail/router/budget_desk.py
@@ -24,6 +24,8 @@
 ASK_AGAIN_S = 0.15  # Peers tell what they hold every 0.4 s.
 REFILL_S = 0.3  # Between looks at what is held ahead of demand in a large fleet.
 REFILL_BELOW_S = 2.0  # Demand held ahead; a banker answers within milliseconds.
+ASK_AFTER_S = 1.0  # After a banker gave nothing, before it is asked ahead again.
+WANTED_S = 1.0  # For so long a banker tries to refill for another router.
 EXHAUSTED_S = 0.5  # For so long a banker's word holds that nobody has tokens.
 RETRY_AFTER_S = (1.0, 4.0)  # Drawn between; the store's absences last seconds.
 MAX_WAIT_S = 2.5  # Tokens that have not come by then are not on their way.
@@ -63,6 +65,8 @@
         self._waiters: dict[str, deque[_Waiter]] = {}
         self._obtaining: dict[str, asyncio.Task[None]] = {}
         self._exhausted_until: dict[str, float] = {}
+        self._wanted_until: dict[str, float] = {}
+        self._asked_in_vain_at: dict[str, float] = {}
 
     async def reserve(
         self, account: str, tokens: int, max_wait_s: float, request_id: str
@@ -206,26 +210,39 @@
         """Refill for another router, whose banker this one is."""
         holding = self._book.get_holding(account)
         holding.wanted = max(holding.wanted, tokens)
+        self._wanted_until[account] = self._book.now() + WANTED_S
         self._keeper.request_renewal()
 
-    def clear_wanted(self) -> None:
-        """Take it that a renewal has brought in what was wanted, or could not."""
-        for account, holding in self._book.holdings.items():
-            if holding.wanted and account not in self._waiters:
-                holding.wanted = 0
-
     async def refill(self) -> None:
         """Ask bankers ahead of demand, until cancelled."""
         while True:
             await asyncio.sleep(REFILL_S)
+            now = self._book.now()
             for account, holding in list(self._book.holdings.items()):
                 if not self._neighbourhood.rank_bankers(account):
-                    continue
-                low = max(holding.demand_per_s * REFILL_BELOW_S, holding.typical)
-                if holding.demand_per_s < 1.0 or holding.free >= low:
-                    continue
-                if account not in self._obtaining:
-                    await self._ask_peers(account, int(low))
+                    self._forget_shortage(account, now)
+                elif self._needs_refill(account, now):
+                    low = max(holding.demand_per_s * REFILL_BELOW_S, holding.typical)
+                    if not await self._ask_peers(account, int(low)):
+                        self._asked_in_vain_at[account] = now
+
+    def _needs_refill(self, account: str, now: float) -> bool:
+        holding = self._book.get_holding(account)
+        if holding.demand_per_s < 1.0 or account in self._obtaining:
+            return False
+        if now - self._asked_in_vain_at.get(account, -ASK_AFTER_S) < ASK_AFTER_S:
+            return False
+        return holding.free < max(
+            holding.demand_per_s * REFILL_BELOW_S, holding.typical
+        )
+
+    def _forget_shortage(self, account: str, now: float) -> None:
+        """Want no more what another router asked for a while ago."""
+        until = self._wanted_until.get(account)
+        if until is None or now < until or account in self._waiters:
+            return
+        del self._wanted_until[account]
+        self._book.get_holding(account).wanted = 0
 
     def _can_help(self, account: str, waiters: list[_Waiter], spendable: int) -> bool:
         """Whether what the peers hold is enough for the smallest request."""
--- a/bronzesail/router/budget_keeper.py
+++ b/bronzesail/router/budget_keeper.py
@@ -91,7 +91,7 @@
         self._wanted = asyncio.Event()
         self._dead: dict[str, _Dead] = {}
         self.host_count = 1
-        self.sharer_count = 1  # Routers that refill the same account.
+        self.sharer_count = 1  # Routers that share the first grants.
         self.has_loaded = False
         self.is_in_step = False
         self.reclaimed_tokens = 0
@@ -175,11 +175,9 @@
                 continue
             holders[row.key] = (holder, row.version)
             self._on_holder(holder)
-        rows = [holder for holder, _ in holders.values()]
-        self.host_count = max(1, len({row.host for row in rows}))
-        self.sharer_count = self.host_count
-        if self._neighbourhood.is_large:
-            self.sharer_count = max(1, len({row.zone for row in rows}))
+        self.host_count = max(1, len({holder.host for holder, _ in holders.values()}))
+        # In a large fleet, bankers change while the first routers learn of each other.
+        self.sharer_count = 0 if self._neighbourhood.is_large else self.host_count
         return holders
 
     async def load(self) -> bool:
