--- a/bronzesail/router/budget.py
+++ b/bronzesail/router/budget.py
@@ -38,6 +38,7 @@
 TYPICAL_WEIGHT = 0.2  # Of one request in the average size.
 FIRST_SHARE = 0.25  # Of an account's tokens, handed out before any demand is seen.
 SCARCE_SHARE = 0.25  # Below this share left in the store, surplus goes back.
+WANTED_FACTOR = 4  # What is short once is short again before the next refill.
 OWN_AHEAD_S = 2.0  # Demand that a router keeps tokens for when others ask.
 SPENDABLE_SHARE = 0.5  # Of what the store has left, the most that one refill takes.
 
@@ -206,7 +207,9 @@
             return 0
         self.fade_demand()
         spendable = self.count_spendable(account)
-        own = int(min(holding.demand_per_s * OWN_AHEAD_S, spendable / 2))
+        own = 0
+        if not is_banker:
+            own = int(min(holding.demand_per_s * OWN_AHEAD_S, spendable / 2))
         given = max(0, min(want, spendable - own))
         holding.passed += given
         if is_banker:
@@ -365,7 +368,7 @@
         first = int(prepaid * FIRST_SHARE / hosts) if hosts else 0
         is_unused = holding.settled == 0 and not is_scarce
         floor = max(first if is_unused else 0, int(holding.largest))
-        target = max(int(demand * HOLD_AHEAD_S), floor, holding.wanted)
+        target = max(int(demand * HOLD_AHEAD_S), floor, holding.wanted * WANTED_FACTOR)
         if is_scarce and holding.free > 2 * target:
             return -(holding.free - target)
         below = max(int(demand * REFILL_BELOW_S), floor // 2, holding.wanted)
--- a/bronzesail/router/budget_desk.py
+++ b/bronzesail/router/budget_desk.py
@@ -22,6 +22,7 @@
 __all__ = ["BudgetDesk"]
 
 ASK_AGAIN_S = 0.15  # Peers tell what they hold every 0.4 s.
+ASK_GAP_S = 0.02  # Between rounds that brought tokens in.
 REFILL_S = 0.3  # Between looks at what is held ahead of demand in a large fleet.
 REFILL_BELOW_S = 2.0  # Demand held ahead; a banker answers within milliseconds.
 ASK_AFTER_S = 1.0  # After a banker gave nothing, before it is asked ahead again.
@@ -273,4 +274,4 @@
                 self._keeper.request_renewal()
                 await asyncio.sleep(ASK_AGAIN_S)
             self.serve_waiters()
-            await asyncio.sleep(0)
+            await asyncio.sleep(ASK_GAP_S)
--- a/bronzesail/router/budget_keeper.py
+++ b/bronzesail/router/budget_keeper.py
@@ -31,6 +31,7 @@
 URGENT_GAP_S = 0.03  # Between two renewals that requests wait for.
 MAX_CONFLICTS = 4  # Immediate retries after a conflict with another router.
 ANNOUNCE_S = 0.7  # All machines start within 0.3 s of each other.
+SETTLE_S = 4.0  # All machines start within 0.3 s and tell news every 0.4 s.
 LOOK_S = 4.0  # Tokens given back by others are seen after this.
 RETRY_S = 0.3  # Between calls to a store that does not answer.
 
@@ -176,8 +177,12 @@
             holders[row.key] = (holder, row.version)
             self._on_holder(holder)
         self.host_count = max(1, len({holder.host for holder, _ in holders.values()}))
-        # In a large fleet, bankers change while the first routers learn of each other.
-        self.sharer_count = 0 if self._neighbourhood.is_large else self.host_count
+        self.sharer_count = self.host_count
+        if self._neighbourhood.is_large:
+            self.sharer_count = len({holder.zone for holder, _ in holders.values()})
+            if self.book.now() - self._process_started_at < SETTLE_S:
+                # Bankers still change while the routers learn of each other.
+                self.sharer_count = 0
         return holders
 
     async def load(self) -> bool:
