--- a/bronzesail/router/poison.py
+++ b/bronzesail/router/poison.py
@@ -36,6 +36,7 @@
         self._now = now
         self._own: dict[str, tuple[int, float]] = {}
         self._others: dict[str, dict[str, tuple[int, float]]] = {}
+        self._sound: dict[str, tuple[int, float]] = {}
 
     def note_crash(self, fingerprint: str) -> int:
         """Count a crash and return how many are known."""
@@ -44,11 +45,15 @@
         return self.count(fingerprint)
 
     def clear(self, fingerprint: str) -> None:
-        """Forget the crashes of a request that a server ran to its end."""
-        self._own.pop(fingerprint, None)
+        """Take it that a server ran a request to its end: it crashes nobody."""
+        if self.count(fingerprint):
+            self._sound[fingerprint] = (0, self._now())
+            self._own.pop(fingerprint, None)
 
     def count(self, fingerprint: str) -> int:
         """Return the crashes known of a request."""
+        if fingerprint in self._sound:
+            return 0
         total = self._own.get(fingerprint, (0, 0.0))[0]
         for counts in self._others.values():
             total += counts.get(fingerprint, (0, 0.0))[0]
@@ -60,6 +65,7 @@
 
     def export(self, host: str) -> dict[str, dict[str, int]]:
         """Return all counts by the host that made them, this one's as `host`."""
+        self._expire(self._sound)
         counts = {**self._others, host: self._own}
         for entries in counts.values():
             self._expire(entries)
--- a/tests/test_router/test_small_cores.py
+++ b/tests/test_router/test_small_cores.py
@@ -201,6 +201,16 @@
     assert second.count(key) == 1
 
 
+def test_a_request_that_a_server_ran_is_no_poison_whatever_others_tell(time):
+    poison = PoisonList(time)
+    key = make_fingerprint(b"/a", "acme", b"")
+    poison.take_others("h1", {key: 2})
+    assert poison.is_poison(key)
+    poison.clear(key)
+    poison.take_others("h2", {key: 3})
+    assert not poison.is_poison(key)
+
+
 def test_other_requests_have_other_fingerprints():
     keys = {
         make_fingerprint(target, account, body)
