--- a/bronzesail/router/budget.py
+++ b/bronzesail/router/budget.py
@@ -75,6 +75,7 @@
     demand_per_s: float = 0.0
     largest: float = 0.0
     typical: float = 0.0
+    released_share: float = 0.0  # Of reservations, what requests did not use.
     out: int = 0
     version: int = 0
     wanted: int = 0
@@ -89,6 +90,11 @@
         """Tokens spent, reserved or passed on."""
         return self.passed + self.settled + self.reserved
 
+    @property
+    def expected(self) -> int:
+        """Tokens that are free, or will be once the requests in progress end."""
+        return max(0, self.free) + int(self.reserved * self.released_share)
+
     @property
     def free(self) -> int:
         """Tokens held and not spent, whatever the limit says."""
@@ -192,6 +198,8 @@
         used = min(used, reserved)
         holding.reserved -= reserved
         holding.settled += used
+        released = 1 - used / reserved if reserved else 0.0
+        holding.released_share += (released - holding.released_share) * TYPICAL_WEIGHT
         if used < reserved:
             # Demand is counted at the most; what was not used is taken off again.
             surplus = (reserved - used) / DEMAND_WINDOW_S
--- a/bronzesail/router/budget_desk.py
+++ b/bronzesail/router/budget_desk.py
@@ -123,7 +123,7 @@
     def _judge(self, account: str, tokens: int, request_id: str) -> Refusal | None:
         """Return the refusal of a request that nobody has the tokens for."""
         holding = self._book.get_holding(account)
-        reachable = max(0, holding.free) + self._peers.count_free(account)
+        reachable = holding.expected + self._peers.count_free(account)
         if self._neighbourhood.rank_bankers(account):
             if self._exhausted_until.get(account, 0.0) < self._book.now():
                 return None
--- a/tests/test_router/test_budget_desk.py
+++ b/tests/test_router/test_budget_desk.py
@@ -123,3 +123,22 @@
         assert desk.asked == 1
 
     asyncio.run(run())
+
+
+def test_a_request_waits_for_what_requests_in_progress_will_not_use():
+    async def run():
+        desk = Desk(is_in_step=False)
+        desk.book.receive("a", 500)
+        for _ in range(20):  # Requests use half of what they reserve.
+            assert desk.book.try_reserve("a", 10)
+            desk.book.settle("a", 10, 5)
+        assert desk.book.try_reserve("a", 400)
+        desk.time += LEASE_S + 0.1
+        waiting = asyncio.create_task(desk.reserve(100))
+        await asyncio.sleep(0)
+        assert not waiting.done()
+        desk.book.settle("a", 400, 200)
+        desk.desk.serve_waiters()
+        assert await waiting is None
+
+    asyncio.run(run())
