budget: past the lease a process spends at a pace that its row tells

Ruled out: a longer lease (requests would wait that much longer in each outage); a quorum of peers (a protocol of its own). Change: the row also tells a pace; what a death leaves is held less limit less pace for the time past the lease.

--- a/bronzesail/router/budget.py
+++ b/bronzesail/router/budget.py
@@ -6,12 +6,13 @@
 process, says how many tokens it holds and a limit below which it keeps its spending
 (`limit`), renewed ahead of demand with a time stamp. What a dead process had not spent
 goes back to the account: holding less limit, if it died within `LEASE_S` of the stamp.
-Only a process whose row is older than `LEASE_S` spends past the limit, up to what it
-holds; then a death costs what it held.
+A process whose row is older than `LEASE_S` spends past the limit, at most at the row's
+pace; what a later death leaves is reckoned with the pace until then.
 """
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -32,6 +33,8 @@
 
 LEASE_S = 1.9  # A killed process starts again within 1.5 s, after a renewal period.
 LIMIT_AHEAD_S = 1.1  # What a death costs; an outage lets requests wait for the rest.
+PACE_FACTOR = 4.0  # Of the demand, spent past the lease; traffic waves and bursts.
+RELEASE_S = 3.0  # All that is held can be spent this long after the lease.
 HOLD_AHEAD_S = 14.0  # The longest absence of the store on the sheets is 9 s.
 REFILL_BELOW_S = 10.0  # Refills come every 4 s, so that rows rarely conflict.
 DEMAND_WINDOW_S = 4.0  # Decay of the demand's average; the traffic waves in 11 s.
@@ -57,7 +60,7 @@
     started_s: float  # By the store's clock.
     stamp_s: float  # By the store's clock, when the row was written at the latest.
     sequence: int
-    held: dict[str, tuple[int, int]]  # Account to tokens held and spending limit.
+    held: dict[str, tuple[int, int, int]]  # Account to tokens held, limit, pace.
     zone: str = ""
     link_mbps: float = 0.0
 
@@ -72,6 +75,7 @@
     settled: int = 0
     reserved: int = 0
     limit: int = 0
+    pace: int = 0  # Tokens a second beyond the limit, past the lease.
     demand_per_s: float = 0.0
     largest: float = 0.0
     typical: float = 0.0
@@ -162,19 +166,22 @@
 
     def is_past_lease(self) -> bool:
         """Whether this process may spend past the limits of its row."""
+        return self._count_past_lease() > 0
+
+    def _count_past_lease(self) -> float:
+        """Return the seconds since the lease of any row that may stand has ended."""
         newest = self._acknowledged_at
         for attempt in self._unresolved:
             newest = max(newest, attempt.stamped_at)
-        return self.now() - newest > LEASE_S
+        return max(0.0, self.now() - newest - LEASE_S)
 
     def count_spendable(self, account: str) -> int:
         """Return how many tokens can be reserved now."""
         holding = self.holdings.get(account)
         if holding is None or self.is_closed:
             return 0
-        if self.is_past_lease():
-            return holding.free
-        return min(holding.free, holding.limit - holding.spent)
+        bound = holding.limit + int(holding.pace * self._count_past_lease())
+        return min(holding.free, bound - holding.spent)
 
     def count_free(self) -> int:
         """Return the tokens of all accounts that are held and not spent."""
@@ -271,10 +278,11 @@
 
     def plan_adoption(self, tokens: dict[str, int]) -> Attempt:
         """Return the transaction that takes over a dead process's tokens."""
-        held: dict[str, tuple[int, int]] = {}
+        held: dict[str, tuple[int, int, int]] = {}
         for account in {*self.holdings, *tokens}:
             holding = self.get_holding(account)
-            held[account] = (holding.held + tokens.get(account, 0), holding.limit)
+            total = holding.held + tokens.get(account, 0)
+            held[account] = (total, holding.limit, holding.pace)
         return self._make_attempt({}, {}, held, is_final=False, adopted=tokens)
 
     def plan(
@@ -302,7 +310,7 @@
             self._stamped_at = self.now()
         accounts: dict[str, tuple[int, int]] = {}
         grants: dict[str, int] = {}
-        held: dict[str, tuple[int, int]] = {}
+        held: dict[str, tuple[int, int, int]] = {}
         for account, prepaid in self.prepaid.items():
             holding = self.get_holding(account)
             change = 0
@@ -312,9 +320,9 @@
                 grants[account] = change
                 accounts[account] = (holding.version, holding.out + change)
             total = holding.held + change
-            limit = self._plan_limit(holding, total)
+            limit, pace = self._plan_limit(holding, total)
             if total or limit:
-                held[account] = (total, limit)
+                held[account] = (total, limit, pace)
         return self._make_attempt(grants, accounts, held, is_final=False)
 
     def plan_return(self, *, is_final: bool) -> Attempt:
@@ -327,21 +335,21 @@
         """
         accounts: dict[str, tuple[int, int]] = {}
         grants: dict[str, int] = {}
-        held: dict[str, tuple[int, int]] = {}
+        held: dict[str, tuple[int, int, int]] = {}
         for account, holding in self.holdings.items():
-            held[account] = (holding.held, holding.limit)
+            held[account] = (holding.held, holding.limit, holding.pace)
             if holding.free <= 0:
                 continue
             grants[account] = -holding.free
             accounts[account] = (holding.version, holding.out - holding.free)
-            held[account] = (holding.spent, holding.limit)
+            held[account] = (holding.spent, holding.limit, holding.pace)
         return self._make_attempt(grants, accounts, held, is_final=is_final)
 
     def _make_attempt(
         self,
         grants: dict[str, int],
         accounts: dict[str, tuple[int, int]],
-        held: dict[str, tuple[int, int]],
+        held: dict[str, tuple[int, int, int]],
         *,
         is_final: bool,
         adopted: dict[str, int] | None = None,
@@ -395,8 +403,8 @@
         least = max(holding.typical, demand)
         return change if change >= least or holding.wanted else 0
 
-    def _plan_limit(self, holding: Holding, total: int) -> int:
-        """Return the limit to write; a lower one binds before it is written."""
+    def _plan_limit(self, holding: Holding, total: int) -> tuple[int, int]:
+        """Return limit and pace to write; lower ones bind before they are written."""
         ahead = max(
             int(holding.demand_per_s * LIMIT_AHEAD_S),
             int(holding.typical),
@@ -404,7 +412,9 @@
         )
         limit = min(total, holding.spent + ahead)
         holding.limit = min(holding.limit, limit)
-        return limit
+        pace = max(holding.demand_per_s * PACE_FACTOR, (total - limit) / RELEASE_S)
+        holding.pace = min(holding.pace, int(pace))
+        return limit, int(pace)
 
     def apply(self, attempt: Attempt, version: int) -> None:
         """Take the effect of an attempt that is known to have been carried out."""
@@ -418,9 +428,10 @@
                 holding.out = attempt.accounts[account][1]
         for account, tokens in attempt.adopted.items():
             self.get_holding(account).granted += tokens
-        for account, (_, limit) in attempt.row.held.items():
+        for account, (_, limit, pace) in attempt.row.held.items():
             holding = self.get_holding(account)
             holding.limit = max(holding.limit, limit)
+            holding.pace = pace
         self._undo(other for other in self._unresolved if other is not attempt)
         self._unresolved.clear()
         self.row_version = version
@@ -501,10 +512,10 @@
     dead_by_s : float
         When it was known to be dead, on the store's clock.
     """
-    if dead_by_s > row.stamp_s + LEASE_S:
-        return {}
-    return {
-        account: held - limit
-        for account, (held, limit) in row.held.items()
-        if held > limit
-    }
+    past_lease_s = max(0.0, dead_by_s - row.stamp_s - LEASE_S)
+    tokens = {}
+    for account, (held, limit, pace) in row.held.items():
+        left = held - limit - math.ceil(pace * past_lease_s)
+        if left > 0:
+            tokens[account] = left
+    return tokens
--- a/bronzesail/router/budget_keeper.py
+++ b/bronzesail/router/budget_keeper.py
@@ -371,7 +371,7 @@
             "budget: tokens reclaimed",
             key=dead.key,
             tokens=total,
-            held=sum(held for held, _ in dead.row.held.values()),
+            held=sum(held for held, _, _ in dead.row.held.values()),
             stamp_s=dead.row.stamp_s,
             dead_by_s=dead.dead_by_s,
         )
