--- a/tests/test_router/test_budget.py
+++ b/tests/test_router/test_budget.py
@@ -107,18 +107,20 @@
 
 
 def test_a_lower_pace_binds_before_it_is_known_to_be_written():
-    world = World()
+    world = World(prepaid=4_000)
     world.book.get_holding("a").wanted = 2_000
     world.renew()
-    world.book.get_holding("a").wanted = 0
-    world.book.plan_return(is_final=False)
-    world.time += 0.1
+    world.spend(1_500)
+    known = world.renew()
+    world.time += 1.5
     in_doubt = world.plan()  # Carried out, and its answer is lost.
-    world.time += LEASE_S + 1.0
-    spendable = max(0, world.book.count_spendable("a"))
-    held, _, _ = in_doubt.row.held.get("a", (0, 0, 0))
+    held, _, pace = in_doubt.row.held["a"]
+    assert pace < known.row.held["a"][2]
+    world.time += LEASE_S + 0.3
+    world.spend(max(0, world.book.count_spendable("a")))
     tokens = reclaim(in_doubt.row, world.time)
-    assert spendable + tokens.get("a", 0) <= held
+    assert tokens
+    assert world.count_spent() + tokens["a"] <= held
 
 
 def test_tokens_on_their_way_back_are_not_spent_and_return_if_refused():
