--- a/bronzesail/router/budget.py
+++ b/bronzesail/router/budget.py
@@ -316,6 +316,10 @@
             change = 0
             if changed is None or account in changed:
                 change = self._plan_change(holding, prepaid, hosts)
+            if change < 0 and self._unresolved:
+                # The store does not answer: tokens on their way back would be out of
+                # everybody's reach until it does.
+                change = 0
             if change:
                 grants[account] = change
                 accounts[account] = (holding.version, holding.out + change)
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -99,7 +99,6 @@
         self._code = "aborted"
         self._token_wait_s = 0.0
         self._place_wait_s = 0.0
-        self._first_at = 0.0
         self._task = self._loop.create_task(self._run())
 
     def cancel(self) -> None:
@@ -328,12 +327,11 @@
                 placement.note_first(server.id, unread, ticket)
             placement.note_end(server.id, ticket)
             self._services.line.note_room(self._service)
-        if outcome.ending in (Ending.BROKEN,):
+        if outcome.ending is Ending.BROKEN:
             self._drop_connection()
         else:
             self._connection = None
             self._services.pool.give_back(connection)
-        self._first_at = self._first_at or self._loop.time()
         self._services.log.write(
             "request: sent",
             request=self._id,
--- a/tests/test_router/test_budget.py
+++ b/tests/test_router/test_budget.py
@@ -180,3 +180,14 @@
             for seen in (world.book, other):
                 seen.see_account("a", out, world.version)
     assert world.book.get_holding("a").held + other.get_holding("a").held <= 1_000
+
+
+def test_nothing_goes_back_while_the_store_does_not_answer():
+    world = World()
+    world.renew()
+    free = world.book.get_holding("a").free
+    world.plan()  # Its answer does not come.
+    world.book.see_account("a", 9_000, world.version)  # Little is left in the store.
+    attempt = world.plan()
+    assert attempt.grants == {}
+    assert world.book.get_holding("a").free == free
