--- a/bronzesail/router/budget.py
+++ b/bronzesail/router/budget.py
@@ -487,11 +487,6 @@
         """Whether the known row's stamp leaves little of the lease."""
         return self.now() - self._acknowledged_at > LEASE_S / 4
 
-    @property
-    def has_unresolved(self) -> bool:
-        """Whether the outcome of some attempt is unknown."""
-        return bool(self._unresolved)
-
     def check_invariant(self) -> None:
         """Assert that no account is spent past what is held."""
         for account, holding in self.holdings.items():
--- a/bronzesail/router/clocks.py
+++ b/bronzesail/router/clocks.py
@@ -20,11 +20,6 @@
         self._received_at = 0.0
         self._clock_s: float | None = None
 
-    @property
-    def is_known(self) -> bool:
-        """Whether an answer has carried the clock."""
-        return self._clock_s is not None
-
     def see(self, clock_s: float, sent_at: float, received_at: float) -> None:
         """Take the clock that an answer carries."""
         if self._clock_s is not None and clock_s < self._clock_s:
--- a/bronzesail/router/relay.py
+++ b/bronzesail/router/relay.py
@@ -88,11 +88,6 @@
         self.first: asyncio.Future[None] = loop.create_future()
         self.done: asyncio.Future[Outcome] = loop.create_future()
 
-    @property
-    def is_streaming(self) -> bool:
-        """Whether the caller gets the answer as it arrives."""
-        return self._is_streaming
-
     def take_head(self, head: AnswerHead) -> None:
         """Check that the answer belongs to the request, and begin to hand it on."""
         is_success = 200 <= head.status < 300
--- a/bronzesail/router/store.py
+++ b/bronzesail/router/store.py
@@ -70,11 +70,6 @@
         self.clock = StoreClock()
         self.calls = 0
         self.failures_in_a_row = 0
-        self.last_answer_at = -1e9
-
-    def is_away(self) -> bool:
-        """Whether the last calls all failed."""
-        return self.failures_in_a_row >= 2
 
     async def transact(
         self,
@@ -187,5 +182,4 @@
             self.failures_in_a_row += 1
         else:
             self.failures_in_a_row = 0
-            self.last_answer_at = received_at
         return _Reply(head.status, answer, sent_at, received_at)
