budget: a request of which the caller got nothing is not charged

Change: a request without a delivered event is free, unless its caller left while it was sent. Tests: two in test_whole_path; the first failed before.

--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -94,6 +94,7 @@
         self._has_run = False
         self._fingerprint = ""
         self._reserved = 0
+        self._charged = 0
         self._stream: StreamState | None = None
         self._tried: list[str] = []
         self._code = "aborted"
@@ -524,19 +525,22 @@
     def _settle(self) -> None:
         if not self._reserved or self._account is None or self._head is None:
             return
-        used = 0
-        if self._has_run or self._sends:
-            used = self._count_used()
-        self._services.book.settle(self._account.name, self._reserved, used)
+        self._charged = self._count_used()
+        self._services.book.settle(self._account.name, self._reserved, self._charged)
         self._reserved = 0
         self._services.desk.serve_waiters()
 
     def _count_used(self) -> int:
-        """Return the prompt's tokens and those of the events handed on."""
+        """Return the tokens that the account is charged.
+
+        These are the prompt's and those of the events handed on. A request of which
+        the caller got nothing is free, unless the caller left while it was sent.
+        """
         assert self._head is not None
-        if not self._has_run and self._code != "caller gone":
-            return 0
         events = self._stream.events if self._stream else 0
+        has_left = self._sends > 0 and self._code == "caller gone"
+        if not events and self._code != "ok" and not has_left:
+            return 0
         per_event = self._engine.tokens_per_event if self._engine else 0
         return self._head.prompt_tokens + min(
             self._head.max_output_tokens, events * per_event
@@ -556,6 +560,7 @@
             account=self._account.name if self._account else None,
             config=self._services.configuration.version,
             tokens=self._head.max_tokens if self._head else None,
+            charged=self._charged,
             token_wait_s=round(self._token_wait_s, 4),
             place_wait_s=round(self._place_wait_s, 4),
             sends=self._sends,
--- a/tests/test_router/test_whole_path.py
+++ b/tests/test_router/test_whole_path.py
@@ -211,6 +211,39 @@
     assert holding.settled == 100 + 5
 
 
+@run_deployed
+async def test_a_request_that_got_nothing_is_not_charged(deployment, router):
+    async def break_off(request, responder, headers):
+        raise ConnectionResetError
+
+    deployment.engine._behave = break_off
+    assert (await deployment.send(router, "/chat/1", b"x", **TOKENS))[0] == 502
+    holding = router.app.book.get_holding("acme")
+    await wait_until(lambda: holding.reserved == 0)
+    assert holding.settled == 0
+
+
+@run_deployed
+async def test_a_caller_that_left_before_the_answer_is_charged_for_the_prompt(
+    deployment, router
+):
+    async def hang(request, responder, headers):
+        await asyncio.sleep(3600)
+
+    deployment.engine._behave = hang
+    reader, writer = await asyncio.open_connection(router.ip, router.port)
+    writer.write(
+        f"POST /chat/1 HTTP/1.1\r\nHost: {HOST_NAME}\r\nX-Attempt-Id: r\r\n"
+        f"Authorization: Bearer {KEY}\r\nX-Token-Counts: 10,9\r\n"
+        "Content-Length: 0\r\n\r\n".encode()
+    )
+    await wait_until(lambda: deployment.engine.requests)
+    writer.close()
+    holding = router.app.book.get_holding("acme")
+    await wait_until(lambda: holding.reserved == 0)
+    assert holding.settled == 10
+
+
 @run_deployed
 async def test_a_resumable_stream_goes_on_at_another_server(deployment, router):
     async def break_off(request, responder, headers):
