budget: spending is bounded by each row that can stand, not by the lowest limit and pace together

Cause: while the store does not answer, each failed renewal lowered limit and pace each for itself; the bound was the lowest limit of any attempt with the lowest pace of any other, less than any single row told. Ruled out: demand that fades during an outage (the part of the pace that frees all within 3 s does not depend on it). Change: the bound is the least of what the known row and each attempt in doubt tell, each with its own stamp, and tokens received since come on top. Rows of returns and adoptions tell a limit of at least what is spent. Test: test_renewals_that_fail_do_not_slow_what_is_passed_on_past_the_lease failed before.

--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -445,7 +445,7 @@
                     holding.passed,
                     holding.settled,
                     holding.reserved,
-                    holding.limit,
+                    self.book.find_bound(account),
                     int(holding.demand_per_s),
                     self.book.prepaid.get(account),
                     holding.out,
--- a/bronzesail/router/budget.py
+++ b/bronzesail/router/budget.py
@@ -74,8 +74,6 @@
     passed: int = 0
     settled: int = 0
     reserved: int = 0
-    limit: int = 0
-    pace: int = 0  # Tokens a second beyond the limit, past the lease.
     demand_per_s: float = 0.0
     largest: float = 0.0
     typical: float = 0.0
@@ -116,6 +114,7 @@
     stamped_at: float
     is_final: bool = False
     adopted: dict[str, int] = attrs.field(factory=dict)  # From a dead process's row.
+    received: dict[str, int] = attrs.field(factory=dict)  # Of each account until then.
 
 
 class BudgetBook:
@@ -153,6 +152,7 @@
         self.row_version = 0
         self.started_s: float | None = None
         self._sequence = 0
+        self._acknowledged: Attempt | None = None
         self._unresolved: list[Attempt] = []
         self._stamp_s = 0.0
         self._stamped_at = now()  # When `_stamp_s` was read.
@@ -180,8 +180,35 @@
         holding = self.holdings.get(account)
         if holding is None or self.is_closed:
             return 0
-        bound = holding.limit + int(holding.pace * self._count_past_lease())
-        return min(holding.free, bound - holding.spent)
+        bound = self.find_bound(account)
+        return (
+            holding.free if bound is None else min(holding.free, bound - holding.spent)
+        )
+
+    def find_bound(self, account: str) -> int | None:
+        """Return the most that may be spent of an account, None for all that is held.
+
+        A successor may find any of the rows that can stand in the store: the one that
+        is known, and those whose outcome is in doubt. Spending stays within what each
+        of them tells. Tokens received since are in none of them, so they are lost with
+        this process and may be spent at once.
+        """
+        now = self.now()
+        holding = self.get_holding(account)
+        rows = [*self._unresolved]
+        if self._acknowledged is not None:
+            rows.append(self._acknowledged)
+        least: int | None = None
+        for attempt in rows:
+            told = attempt.row.held.get(account)
+            if told is None:
+                continue
+            _, limit, pace = told
+            past_lease_s = max(0.0, now - attempt.stamped_at - LEASE_S)
+            received = holding.received - attempt.received.get(account, 0)
+            bound = limit + received + int(pace * past_lease_s)
+            least = bound if least is None else min(least, bound)
+        return least
 
     def count_free(self) -> int:
         """Return the tokens of all accounts that are held and not spent."""
@@ -242,9 +269,6 @@
         """Take tokens that another router passed on."""
         holding = self.get_holding(account)
         holding.received += tokens
-        # Tokens that the row does not show yet are lost with this process, so they
-        # may be spent at once.
-        holding.limit += tokens
 
     def fade_demand(self) -> None:
         """Let the demand's average decay to now."""
@@ -282,7 +306,7 @@
         for account in {*self.holdings, *tokens}:
             holding = self.get_holding(account)
             total = holding.held + tokens.get(account, 0)
-            held[account] = (total, holding.limit, holding.pace)
+            held[account] = (total, *self._plan_limit(holding, total))
         return self._make_attempt({}, {}, held, is_final=False, adopted=tokens)
 
     def plan(
@@ -341,12 +365,10 @@
         grants: dict[str, int] = {}
         held: dict[str, tuple[int, int, int]] = {}
         for account, holding in self.holdings.items():
-            held[account] = (holding.held, holding.limit, holding.pace)
-            if holding.free <= 0:
-                continue
-            grants[account] = -holding.free
-            accounts[account] = (holding.version, holding.out - holding.free)
-            held[account] = (holding.spent, holding.limit, holding.pace)
+            if holding.free > 0:
+                grants[account] = -holding.free
+                accounts[account] = (holding.version, holding.out - holding.free)
+            held[account] = (holding.spent, holding.spent, 0)
         return self._make_attempt(grants, accounts, held, is_final=is_final)
 
     def _make_attempt(
@@ -377,6 +399,7 @@
             stamped_at=self._stamped_at,
             is_final=is_final,
             adopted=adopted or {},
+            received={name: one.received for name, one in self.holdings.items()},
         )
         # Tokens on their way back are out of reach from now on.
         for account, change in grants.items():
@@ -408,16 +431,14 @@
         return change if change >= least or holding.wanted else 0
 
     def _plan_limit(self, holding: Holding, total: int) -> tuple[int, int]:
-        """Return limit and pace to write; lower ones bind before they are written."""
+        """Return the limit to write, at least what is spent, and the pace."""
         ahead = max(
             int(holding.demand_per_s * LIMIT_AHEAD_S),
             int(holding.typical),
             holding.wanted,
         )
         limit = min(total, holding.spent + ahead)
-        holding.limit = min(holding.limit, limit)
         pace = max(holding.demand_per_s * PACE_FACTOR, (total - limit) / RELEASE_S)
-        holding.pace = min(holding.pace, int(pace))
         return limit, int(pace)
 
     def apply(self, attempt: Attempt, version: int) -> None:
@@ -432,13 +453,10 @@
                 holding.out = attempt.accounts[account][1]
         for account, tokens in attempt.adopted.items():
             self.get_holding(account).granted += tokens
-        for account, (_, limit, pace) in attempt.row.held.items():
-            holding = self.get_holding(account)
-            holding.limit = max(holding.limit, limit)
-            holding.pace = pace
         self._undo(other for other in self._unresolved if other is not attempt)
         self._unresolved.clear()
         self.row_version = version
+        self._acknowledged = attempt
         self._acknowledged_at = attempt.stamped_at
 
     def reject(self, attempt: Attempt) -> None:
@@ -478,7 +496,7 @@
         """
         for holding in self.holdings.values():
             holding.granted -= max(0, holding.free)
-            holding.limit = holding.spent
+        self._acknowledged = None
         self._unresolved.clear()
         self.row_version = 0
         self.is_closed = False
--- a/bronzesail/router/budget_desk.py
+++ b/bronzesail/router/budget_desk.py
@@ -159,7 +159,7 @@
             account=account,
             tokens=tokens,
             free=holding.free,
-            limit_left=holding.limit - holding.spent,
+            spendable=self._book.count_spendable(account),
             peers_free=self._peers.count_free(account),
             past_lease=self._book.is_past_lease(),
             store_in_step=self._keeper.is_in_step,
--- a/tests/test_router/test_budget.py
+++ b/tests/test_router/test_budget.py
@@ -71,7 +71,7 @@
     world.book.get_holding("a").wanted = 0
     world.spend(400)
     world.renew()
-    before = world.book.get_holding("a").limit
+    before = world.book.find_bound("a")
     world.time += 1.5
     world.book.fade_demand()
     in_doubt = world.plan()  # Carried out, and its answer is lost.
@@ -191,3 +191,16 @@
     attempt = world.plan()
     assert attempt.grants == {}
     assert world.book.get_holding("a").free == free
+
+
+def test_renewals_that_fail_do_not_slow_what_is_passed_on_past_the_lease():
+    world = World()
+    world.renew()
+    started_at = world.time
+    while world.time < started_at + LEASE_S + RELEASE_S:
+        world.time += 0.3  # Each renewal fails; the store does not answer.
+        world.book.pass_on("a", 100)
+        world.plan()
+    holding = world.book.get_holding("a")
+    assert holding.free > 0
+    assert world.book.count_spendable("a") == holding.free
