budget: in large fleets a banker a region gives what each request needs

At second 18 the account fiba313 (735,089 tokens, all handed out) had 275,385 of them free, spread over 59 routers: first grants of routers that were bankers before they knew each other, holdings ahead at each router, and parts of tokens that no request fitted in. 37,994 questions to bankers brought 11,242 gifts in 34 s. Ruled out: the store (in step, 10 ms a renewal), lost datagrams. Change: one banker for each account and region, found by a rendezvous hash over the live routers that leaders tell of; other routers ask it for at least what the smallest waiting request lacks and hold nothing ahead; what is not used goes back in 0.3 s; those that ask wait in the banker's line with its own requests; bankers ask those of other regions; a silent banker is passed over for 2 s. A 402 holds for requests of that size and more, no longer for all. Tests: six of the desk, four of the neighbourhood; test_news_... and test_bankers_of_other_... ask the new methods.

--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -114,7 +114,11 @@
         self.placement = Placement(loop.time, settings.zone, settings.region_by_zone)
         self.line = WaitingLine(self.directory, self.placement)
         self.neighbourhood = Neighbourhood(
-            settings.host, settings.zone, settings.link_mbps, loop.time
+            settings.host,
+            settings.zone,
+            settings.link_mbps,
+            loop.time,
+            settings.region_by_zone,
         )
         self.book = BudgetBook(
             settings.host, address, read_clock, settings.zone, settings.link_mbps
@@ -138,8 +142,9 @@
             self.neighbourhood,
             self._make_hello,
             self._take_hello,
-            lambda account, tokens: self.desk.note_shortage(account, tokens),
-            lambda account: self.desk.is_exhausted(account),
+            lambda ask: self.desk.serve_ask(ask),
+            self._serve_waiters,
+            self.incarnation,
         )
         self.desk = BudgetDesk(
             self.book,
@@ -220,7 +225,7 @@
             self._server_watch.run(),
             self.keeper.run(),
             self.peers.run(),
-            self.desk.refill(),
+            self.desk.return_leftovers(),
             self._sweep(),
             self._watch_settings(),
             self._report_holdings(),
@@ -349,7 +354,7 @@
             account: self.book.count_spendable(account)
             for account in self.book.holdings
         }
-        hello = Hello(
+        return Hello(
             host=self.settings.host,
             incarnation=self.incarnation,
             address=f"{self._inner_address[0]}:{self._inner_address[1]}",
@@ -364,11 +369,6 @@
             and self._server_watch.is_in_step,
             directory=f"{self.incarnation}.{self.directory.generation}",
         )
-        if self.neighbourhood.is_large and self.neighbourhood.find_leader() is None:
-            hosts = self.neighbourhood.list_zone_hosts()
-            hosts[self.settings.host] = self._inner_address
-            hello.zone_hosts = {h: f"{a[0]}:{a[1]}" for h, a in hosts.items()}
-        return hello
 
     def _take_hello(self, peer: Peer) -> None:
         hello = peer.hello
--- a/bronzesail/router/budget.py
+++ b/bronzesail/router/budget.py
@@ -218,13 +218,21 @@
         """Set `tokens` aside for a request; tell whether there were enough."""
         if self.count_spendable(account) < tokens:
             return False
+        self._note_demand(account, tokens)
+        self.get_holding(account).reserved += tokens
+        return True
+
+    def _note_demand(self, account: str, tokens: int) -> None:
         self.fade_demand()
         holding = self.get_holding(account)
-        holding.reserved += tokens
         holding.demand_per_s += tokens / DEMAND_WINDOW_S
         holding.largest = max(holding.largest, tokens)
         holding.typical += (tokens - holding.typical) * TYPICAL_WEIGHT
-        return True
+
+    def _lower_demand(self, account: str, tokens: int) -> None:
+        holding = self.get_holding(account)
+        surplus = tokens / DEMAND_WINDOW_S
+        holding.demand_per_s = max(0.0, holding.demand_per_s - surplus)
 
     def settle(self, account: str, reserved: int, used: int) -> None:
         """Replace a reservation by what the request used, at most the reservation."""
@@ -234,30 +242,41 @@
         holding.settled += used
         released = 1 - used / reserved if reserved else 0.0
         holding.released_share += (released - holding.released_share) * TYPICAL_WEIGHT
-        if used < reserved:
-            # Demand is counted at the most; what was not used is taken off again.
-            surplus = (reserved - used) / DEMAND_WINDOW_S
-            holding.demand_per_s = max(0.0, holding.demand_per_s - surplus)
+        # Demand is counted at the most; what was not used is taken off again.
+        self._lower_demand(account, reserved - used)
 
-    def pass_on(self, account: str, want: int, *, is_banker: bool = False) -> int:
-        """Give up to `want` tokens to another router; return how many.
+    def pass_on(self, account: str, want: int, least: int = 1) -> int:
+        """Give `least` to `want` tokens to another router; return how many.
 
-        What a banker gives counts as its own demand, so that it refills for others.
+        Half of what can be spent stays here, as far as this router's own demand goes.
         """
-        holding = self.holdings.get(account)
-        if holding is None or want <= 0:
-            return 0
+        holding = self.get_holding(account)
         self.fade_demand()
         spendable = self.count_spendable(account)
-        own = 0
-        if not is_banker:
-            own = int(min(holding.demand_per_s * OWN_AHEAD_S, spendable / 2))
+        own = int(min(holding.demand_per_s * OWN_AHEAD_S, spendable / 2))
         given = max(0, min(want, spendable - own))
+        if given < least:
+            return 0
         holding.passed += given
-        if is_banker:
-            holding.demand_per_s += given / DEMAND_WINDOW_S
         return given
 
+    def serve(self, account: str, want: int, least: int) -> int:
+        """Give `least` to `want` tokens as a banker; return how many.
+
+        What a banker gives counts as its own demand, so that it refills for others.
+        """
+        given = min(want, self.count_spendable(account))
+        if given < least:
+            return 0
+        self._note_demand(account, given)
+        self.get_holding(account).passed += given
+        return given
+
+    def take_back(self, account: str, tokens: int) -> None:
+        """Take tokens that another router had asked for and did not need."""
+        self.receive(account, tokens)
+        self._lower_demand(account, tokens)
+
     def take_all(self, account: str) -> int:
         """Take out all that can be passed on, before this process ends."""
         holding = self.get_holding(account)
--- a/bronzesail/router/budget_desk.py
+++ b/bronzesail/router/budget_desk.py
@@ -16,26 +16,36 @@
     from .budget import BudgetBook
     from .budget_keeper import BudgetKeeper
     from .log import Log
-    from .neighbourhood import Neighbourhood
-    from .peers import Peers
+    from .neighbourhood import Banker, Neighbourhood
+    from .peers import Ask, Peers
 
 __all__ = ["BudgetDesk"]
 
 ASK_AGAIN_S = 0.15  # Peers tell what they hold every 0.4 s.
 ASK_GAP_S = 0.02  # Between rounds that brought tokens in.
-REFILL_S = 0.3  # Between looks at what is held ahead of demand in a large fleet.
-REFILL_BELOW_S = 2.0  # Demand held ahead; a banker answers within milliseconds.
-ASK_AFTER_S = 1.0  # After a banker gave nothing, before it is asked ahead again.
-WANTED_S = 1.0  # For so long a banker tries to refill for another router.
-EXHAUSTED_S = 0.5  # For so long a banker's word holds that nobody has tokens.
+FROM_REGION_S = 2.0  # Demand that is asked for ahead of another region's banker.
+LEFTOVER_S = 0.3  # Between returns of what requests did not use, in a large fleet.
+ASK_HOLD_S = 0.3  # A banker refills within 0.1 s; the asker waits 0.4 s for an answer.
+EXHAUSTED_S = 0.5  # For so long another router's word holds that it has no tokens.
 RETRY_AFTER_S = (1.0, 4.0)  # Drawn between; the store's absences last seconds.
 MAX_WAIT_S = 2.5  # Tokens that have not come by then are not on their way.
 
 
 @attrs.define
 class _Waiter:
+    """A request that waits for tokens, or a router whose banker this one is."""
+
+    tokens: int  # The least that helps.
+    future: asyncio.Future[int]
+    want: int = 0  # The most that a router asks for; 0 for a request.
+
+
+@attrs.frozen
+class _Told:
+    """What others said of an account: that they cannot give as many tokens."""
+
     tokens: int
-    future: asyncio.Future[bool]
+    until: float
 
 
 class BudgetDesk:
@@ -65,9 +75,8 @@
         self._random = generator
         self._waiters: dict[str, deque[_Waiter]] = {}
         self._obtaining: dict[str, asyncio.Task[None]] = {}
-        self._exhausted_until: dict[str, float] = {}
-        self._wanted_until: dict[str, float] = {}
-        self._asked_in_vain_at: dict[str, float] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._told: dict[str, _Told] = {}
 
     async def reserve(
         self, account: str, tokens: int, max_wait_s: float, request_id: str
@@ -80,21 +89,44 @@
         refusal = self._judge(account, tokens, request_id)
         if refusal is not None:
             return refusal
-        future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(tokens, future)
+        if await self._wait(account, tokens, min(max_wait_s, MAX_WAIT_S)):
+            return None
+        refusal = self._judge(account, tokens, request_id)
+        return refusal or self._refuse_unreachable(account, tokens, request_id)
+
+    async def serve_ask(self, ask: Ask) -> tuple[int, bool]:
+        """Pass tokens on as a banker; say whether nobody has as many.
+
+        Routers that ask and requests of this host wait in the same line.
+        """
+        account, least = ask.account, ask.least
+        if not self._waiters.get(account):
+            given = self._book.serve(account, ask.want, least)
+            if given:
+                self._renew_early(account)
+                return given, False
+        if self._find_exhaustion(account, least) is not None:
+            return 0, True
+        given = await self._wait(account, least, ASK_HOLD_S, ask.want)
+        is_exhausted = not given and self._find_exhaustion(account, least) is not None
+        return given, is_exhausted
+
+    async def _wait(
+        self, account: str, tokens: int, wait_s: float, want: int = 0
+    ) -> int:
+        """Wait for tokens on their way; return how many were had."""
+        future: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+        waiter = _Waiter(tokens, future, want)
         self._waiters.setdefault(account, deque()).append(waiter)
         self._start_obtaining(account)
         try:
-            async with asyncio.timeout(min(max_wait_s, MAX_WAIT_S)):
-                await future
-            return None
+            async with asyncio.timeout(wait_s):
+                return await future
         except TimeoutError:
-            if future.done() and not future.cancelled():
-                return None  # The tokens came together with the time limit.
+            # The tokens may have come together with the time limit.
+            return 0 if future.cancelled() or not future.done() else future.result()
         finally:
             self._leave(account, waiter)
-        refusal = self._judge(account, tokens, request_id)
-        return refusal or self._refuse_unreachable(account, tokens, request_id)
 
     def serve_waiters(self) -> None:
         """Reserve for the requests that wait, in their order, where they fit."""
@@ -102,8 +134,13 @@
             for waiter in list(waiters):
                 if waiter.future.done():
                     continue
-                if self._book.try_reserve(account, waiter.tokens):
-                    waiter.future.set_result(True)
+                if waiter.want:
+                    taken = self._book.serve(account, waiter.want, waiter.tokens)
+                else:
+                    is_reserved = self._book.try_reserve(account, waiter.tokens)
+                    taken = waiter.tokens if is_reserved else 0
+                if taken:
+                    waiter.future.set_result(taken)
 
     def _leave(self, account: str, waiter: _Waiter) -> None:
         waiters = self._waiters[account]
@@ -113,38 +150,67 @@
             del self._waiters[account]
             self._book.get_holding(account).wanted = 0
         is_granted = waiter.future.done() and not waiter.future.cancelled()
-        if is_granted and asyncio.current_task() is not None:
-            task = asyncio.current_task()
-            assert task is not None
-            if task.cancelling():
-                # The caller left while its tokens arrived.
-                self._book.settle(account, waiter.tokens, 0)
+        task = asyncio.current_task()
+        if is_granted and not waiter.want and task is not None and task.cancelling():
+            # The caller left while its tokens arrived.
+            self._book.settle(account, waiter.tokens, 0)
 
     def _judge(self, account: str, tokens: int, request_id: str) -> Refusal | None:
         """Return the refusal of a request that nobody has the tokens for."""
-        holding = self._book.get_holding(account)
-        reachable = holding.expected + self._peers.count_free(account)
-        if self._neighbourhood.rank_bankers(account):
-            if self._exhausted_until.get(account, 0.0) < self._book.now():
-                return None
-        elif not self._is_known():
-            if reachable >= tokens or not self._book.is_past_lease():
-                return None
-            return self._refuse_unreachable(account, tokens, request_id)
-        elif reachable + max(0, self._book.left_in_store(account)) >= tokens:
+        code = self._find_exhaustion(account, tokens)
+        if code is None:
             return None
+        if code is ResultCode.BUDGET_UNREACHABLE:
+            return self._refuse_unreachable(account, tokens, request_id)
+        holding = self._book.get_holding(account)
         self._log.write(
             "budget: exhausted",
             request=request_id,
             account=account,
             tokens=tokens,
-            reachable=reachable,
+            reachable=self._count_reachable(account),
             left_in_store=self._book.left_in_store(account),
             free=holding.free,
             row_version=holding.version,
         )
         return Refusal(ResultCode.BUDGET_EXHAUSTED, is_not_run=True)
 
+    def _count_reachable(self, account: str) -> int:
+        expected = self._book.get_holding(account).expected
+        return expected + self._peers.count_free(account)
+
+    def _find_exhaustion(self, account: str, tokens: int) -> ResultCode | None:
+        """Say why as many tokens cannot be had now, None if they may be."""
+        if self._neighbourhood.rank_bankers(account):
+            is_told = self._is_told(account, tokens)
+            return ResultCode.BUDGET_EXHAUSTED if is_told else None
+        reachable = self._count_reachable(account)
+        if not self._is_known():
+            if reachable >= tokens or not self._book.is_past_lease():
+                return None
+            if self._neighbourhood.is_large and not self._is_told(account, tokens):
+                return None  # Other regions' bankers are asked first.
+            return ResultCode.BUDGET_UNREACHABLE
+        if reachable + max(0, self._book.left_in_store(account)) >= tokens:
+            return None
+        if self._neighbourhood.is_large and not self._is_told(account, tokens):
+            return None
+        return ResultCode.BUDGET_EXHAUSTED
+
+    def _is_told(self, account: str, tokens: int) -> bool:
+        """Whether those that were asked said a moment ago that they lack as many."""
+        told = self._told.get(account)
+        return (
+            told is not None and told.until > self._book.now() and told.tokens <= tokens
+        )
+
+    def _note_told(self, account: str, tokens: int) -> None:
+        now = self._book.now()
+        known = self._told.get(account)
+        if known is not None and known.until > now:
+            tokens = min(tokens, known.tokens)
+        self._told[account] = _Told(tokens, now + EXHAUSTED_S)
+
     def _is_known(self) -> bool:
         """Whether the store's rows of accounts were seen a moment ago."""
         return self._keeper.has_loaded and self._keeper.is_in_step
@@ -192,66 +258,94 @@
             return False
         return self._book.left_in_store(account) > 0
 
-    async def _ask_peers(self, account: str, shortage: int) -> int:
+    async def _ask_peers(self, account: str, shortage: int, least: int) -> int:
+        """Ask for tokens; return how many came.
+
+        In a large fleet a router asks the account's banker for what its requests need,
+        and bankers ask those of other regions.
+        """
         demand_per_s = self._book.get_holding(account).demand_per_s
-        got, is_exhausted = await self._peers.obtain(account, shortage, demand_per_s)
-        if is_exhausted:
-            self._exhausted_until[account] = self._book.now() + EXHAUSTED_S
+        if not self._neighbourhood.is_large:
+            return await self._peers.obtain(account, shortage, demand_per_s)
+        bankers = self._neighbourhood.rank_bankers(account)
+        if bankers:
+            return await self._ask_banker(bankers[0], account, shortage, least)
+        want = shortage + int(demand_per_s * FROM_REGION_S)
+        got = 0
+        for other in self._neighbourhood.find_other_bankers(account):
+            gift = await self._peers.ask_banker(
+                other, account, want - got, least, is_banked=False
+            )
+            got += gift.tokens if gift is not None else 0
+            if got >= shortage:
+                break
+        if not got:
+            self._note_told(account, least)
         return got
 
-    def is_exhausted(self, account: str) -> bool:
-        """Whether nobody has tokens of an account, as far as this router knows."""
-        if not self._is_known() or self._neighbourhood.rank_bankers(account):
-            return False
-        holding = self._book.get_holding(account)
-        reachable = max(0, holding.free) + self._peers.count_free(account)
-        return reachable + max(0, self._book.left_in_store(account)) < holding.typical
-
-    def note_shortage(self, account: str, tokens: int) -> None:
-        """Refill for another router, whose banker this one is."""
-        holding = self._book.get_holding(account)
-        holding.wanted = max(holding.wanted, tokens)
-        self._wanted_until[account] = self._book.now() + WANTED_S
-        self._keeper.request_renewal()
+    async def _ask_banker(
+        self, banker: Banker, account: str, shortage: int, least: int
+    ) -> int:
+        gift = await self._peers.ask_banker(
+            banker, account, shortage, least, is_banked=True
+        )
+        if gift is None:
+            self._neighbourhood.suspect(banker.host)
+            return 0
+        if gift.is_exhausted:
+            self._note_told(account, least)
+        return gift.tokens
 
-    async def refill(self) -> None:
-        """Ask bankers ahead of demand, until cancelled."""
+    async def return_leftovers(self) -> None:
+        """Return what requests did not use to the bankers, until cancelled."""
         while True:
-            await asyncio.sleep(REFILL_S)
-            now = self._book.now()
-            for account, holding in list(self._book.holdings.items()):
-                if not self._neighbourhood.rank_bankers(account):
-                    self._forget_shortage(account, now)
-                elif self._needs_refill(account, now):
-                    low = max(holding.demand_per_s * REFILL_BELOW_S, holding.typical)
-                    if not await self._ask_peers(account, int(low)):
-                        self._asked_in_vain_at[account] = now
-
-    def _needs_refill(self, account: str, now: float) -> bool:
-        holding = self._book.get_holding(account)
-        if holding.demand_per_s < 1.0 or account in self._obtaining:
-            return False
-        if now - self._asked_in_vain_at.get(account, -ASK_AFTER_S) < ASK_AFTER_S:
-            return False
-        return holding.free < max(
-            holding.demand_per_s * REFILL_BELOW_S, holding.typical
-        )
+            await asyncio.sleep(LEFTOVER_S)
+            for account in list(self._book.holdings):
+                bankers = self._neighbourhood.rank_bankers(account)
+                if not bankers or account in self._waiters:
+                    continue
+                tokens = self._book.take_all(account)
+                if not tokens:
+                    continue
+                self._tasks.add(
+                    task := asyncio.create_task(
+                        self._return_tokens(bankers[0], account, tokens)
+                    )
+                )
+                task.add_done_callback(self._tasks.discard)
 
-    def _forget_shortage(self, account: str, now: float) -> None:
-        """Want no more what another router asked for a while ago."""
-        until = self._wanted_until.get(account)
-        if until is None or now < until or account in self._waiters:
+    async def _return_tokens(self, banker: Banker, account: str, tokens: int) -> None:
+        if await self._peers.give(banker.address, account, tokens, is_leftover=True):
             return
-        del self._wanted_until[account]
-        self._book.get_holding(account).wanted = 0
+        self._neighbourhood.suspect(banker.host)
+        self._log.write(
+            "budget: return unconfirmed",
+            account=account,
+            peer=banker.host,
+            tokens=tokens,
+        )
 
     def _can_help(self, account: str, waiters: list[_Waiter], spendable: int) -> bool:
         """Whether what the peers hold is enough for the smallest request."""
-        if self._neighbourhood.rank_bankers(account):
-            return True  # The banker refills for what it cannot give.
+        if self._neighbourhood.is_large:
+            return True  # A banker refills for what it cannot give.
         smallest = min(waiter.tokens for waiter in waiters)
         return spendable + self._peers.count_free(account) >= smallest
 
+    def _end_hopeless(self, account: str) -> None:
+        """End the wait of those that need more than anybody has.
+
+        In a small fleet what peers hold is known from their news only, and what was
+        just asked for is missing there.
+        """
+        if not self._neighbourhood.is_large:
+            return
+        for waiter in self._waiters.get(account, ()):
+            if waiter.future.done():
+                continue
+            if self._find_exhaustion(account, waiter.tokens) is not None:
+                waiter.future.set_result(0)
+
     async def _obtain(self, account: str) -> None:
         """Bring tokens in while requests wait for them."""
         while True:
@@ -267,7 +361,10 @@
                 self._keeper.request_renewal()
                 await asyncio.sleep(ASK_AGAIN_S)
             elif shortage > 0 and self._can_help(account, waiters, spendable):
-                got = await self._ask_peers(account, shortage)
+                smallest = min(waiter.tokens for waiter in waiters)
+                least = max(1, smallest - spendable)
+                got = await self._ask_peers(account, shortage, least)
+                self._end_hopeless(account)
                 if not got:
                     await asyncio.sleep(ASK_AGAIN_S)
             else:
--- a/bronzesail/router/budget_keeper.py
+++ b/bronzesail/router/budget_keeper.py
@@ -180,7 +180,7 @@
         self.host_count = max(1, len({holder.host for holder, _ in holders.values()}))
         self.sharer_count = self.host_count
         if self._neighbourhood.is_large:
-            self.sharer_count = len({holder.zone for holder, _ in holders.values()})
+            self.sharer_count = self._neighbourhood.count_regions()
             if self.book.now() - self._process_started_at < SETTLE_S:
                 # Bankers still change while the routers learn of each other.
                 self.sharer_count = 0
--- a/bronzesail/router/neighbourhood.py
+++ b/bronzesail/router/neighbourhood.py
@@ -2,14 +2,16 @@
 
 In a small fleet every router tells all others its news, reads the store and refills
 its own budgets. In a large one the routers of a data centre form a neighbourhood: its
-leader reads the store for the others and exchanges news with the other leaders; for
-each client account one router, the account's banker, refills from the store for the
-others. All of these are hints that each router works out for itself: where two routers
-disagree, the store is read twice or two of them refill, and nothing worse.
+leader reads the store for the others and exchanges news with the other leaders. For
+each client account one router of each region, the account's banker, holds tokens for
+the others, which ask it for what each request needs. All of these are hints that each
+router works out for itself: where two routers disagree, the store is read twice or two
+of them refill, and nothing worse.
 """
 
 from __future__ import annotations
 
+import functools
 import hashlib
 from typing import TYPE_CHECKING
 
@@ -18,11 +20,22 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ["Neighbour", "Neighbourhood"]
+__all__ = ["Banker", "Neighbour", "Neighbourhood"]
 
 SMALL_FLEET = 12  # Routers; each tells each other 300 bytes twice a second.
 LIVE_S = 1.5  # Three missed hellos.
 KEEP_S = 30.0  # A router unheard for this long is forgotten.
+TOLD_S = 4.0  # Two leaders in a row may go; then what they told of others is too old.
+SUSPECT_S = 2.0  # A banker that did not answer is found silent by then.
+RANKS_KEPT = 65_536  # Ranks remembered: accounts times routers of a region.
+
+
+@attrs.frozen
+class Banker:
+    """A router that holds an account's tokens for its region."""
+
+    host: str
+    address: tuple[str, int]
 
 
 @attrs.define(kw_only=True)
@@ -49,17 +62,26 @@
         Bandwidth of this host's link, in Mbit/s.
     now : callable
         Seconds on a steady clock.
+    region_by_zone : dict, optional
+        Each data centre's region; all are in one region by default.
     """
 
     def __init__(
-        self, host: str, zone: str, link_mbps: float, now: Callable[[], float]
+        self,
+        host: str,
+        zone: str,
+        link_mbps: float,
+        now: Callable[[], float],
+        region_by_zone: dict[str, str] | None = None,
     ) -> None:
         self._host = host
         self._zone = zone
         self._link_mbps = link_mbps
         self._now = now
         self._known: dict[str, Neighbour] = {}
-        self._zone_hosts: dict[str, dict[str, tuple[str, int]]] = {}
+        self._region_by_zone = region_by_zone or {}
+        self._told: dict[str, tuple[float, dict[str, tuple[str, int]]]] = {}
+        self._suspected_until: dict[str, float] = {}
 
     @property
     def is_large(self) -> bool:
@@ -90,12 +112,13 @@
     def note_hello(
         self,
         neighbour: Neighbour,
-        zone_hosts: dict[str, tuple[str, int]] | None = None,
+        hosts_by_zone: dict[str, dict[str, tuple[str, int]]] | None = None,
     ) -> None:
-        """Take a router's news, and what a leader says of its neighbourhood."""
+        """Take a router's news, and what a leader says of the data centres."""
         self._known[neighbour.host] = neighbour
-        if zone_hosts:
-            self._zone_hosts[neighbour.zone] = zone_hosts
+        for zone, hosts in (hosts_by_zone or {}).items():
+            if zone != self._zone:
+                self._told[zone] = (self._now(), hosts)
 
     def forget_old(self) -> None:
         """Forget routers of this data centre that have been silent for long."""
@@ -121,7 +144,7 @@
         leader = self.find_leader()
         return leader if leader is not None and leader.is_in_step else None
 
-    def rank_bankers(self, account: str) -> list[Neighbour]:
+    def rank_bankers(self, account: str) -> list[Banker]:
         """Return the routers to ask for tokens before the store, the best first.
 
         The list ends where this router's own turn would come; it is empty where this
@@ -130,19 +153,64 @@
         if not self.is_large:
             return []
         own = _rank(account, self._host)
-        ranked = [(_rank(account, n.host), n) for n in self._list_live()]
-        ranked.sort(key=lambda entry: entry[0], reverse=True)
-        return [neighbour for rank, neighbour in ranked if rank > own]
-
-    def find_other_bankers(self, account: str) -> list[tuple[str, tuple[str, int]]]:
-        """Return host and address of the account's banker in each other data centre."""
-        found = []
-        for zone, hosts in self._zone_hosts.items():
-            if zone == self._zone or not hosts:
+        ranked = [
+            (rank, host, address)
+            for host, address in self._list_region().items()
+            if (rank := _rank(account, host)) > own
+        ]
+        ranked.sort(reverse=True)
+        return [Banker(host, address) for _, host, address in ranked]
+
+    def find_other_bankers(self, account: str) -> list[Banker]:
+        """Return the account's banker in each other region."""
+        best: dict[str, tuple[bytes, Banker]] = {}
+        for zone, hosts in self._list_told():
+            region = self._find_region(zone)
+            if region == self._find_region(self._zone):
                 continue
-            host = max(hosts, key=lambda name: _rank(account, name))
-            found.append((host, hosts[host]))
-        return found
+            for host, address in hosts.items():
+                rank = _rank(account, host)
+                if region not in best or rank > best[region][0]:
+                    best[region] = rank, Banker(host, address)
+        return [banker for _, banker in best.values()]
+
+    def count_regions(self) -> int:
+        """Return how many regions have routers, as far as known."""
+        zones = {known.zone for known in self._known.values()} | {self._zone}
+        return len({self._find_region(zone) for zone in zones})
+
+    def suspect(self, host: str) -> None:
+        """Take it that a banker did not answer: the next one takes its place."""
+        self._suspected_until[host] = self._now() + SUSPECT_S
+
+    def _find_region(self, zone: str) -> str:
+        return self._region_by_zone.get(zone, "")
+
+    def _list_region(self) -> dict[str, tuple[str, int]]:
+        """Return the live routers of this region but this one."""
+        hosts = self.list_zone_hosts()
+        for zone, told in self._list_told():
+            if self._find_region(zone) == self._find_region(self._zone):
+                hosts.update(told)
+        now = self._now()
+        for host, until in list(self._suspected_until.items()):
+            if until <= now:
+                del self._suspected_until[host]
+            else:
+                hosts.pop(host, None)
+        return hosts
+
+    def _list_told(self) -> list[tuple[str, dict[str, tuple[str, int]]]]:
+        now = self._now()
+        return [
+            (zone, hosts)
+            for zone, (at, hosts) in self._told.items()
+            if now - at < TOLD_S
+        ]
+
+    def list_other_zones(self) -> dict[str, dict[str, tuple[str, int]]]:
+        """Return the live routers of the other data centres, as leaders told."""
+        return dict(self._list_told())
 
     def list_zone_hosts(self) -> dict[str, tuple[str, int]]:
         """Return the live routers of this data centre but this one."""
@@ -152,12 +220,9 @@
         """Return the addresses that this router tells its news."""
         if not self.is_large:
             return [known.address for known in self._known.values()]
-        targets = [n.address for n in self._known.values() if n.zone == self._zone]
-        if self.find_leader() is None:
-            targets += self._list_other_leaders()
-        return targets
+        return [n.address for n in self._known.values() if n.zone == self._zone]
 
-    def _list_other_leaders(self) -> list[tuple[str, int]]:
+    def list_other_leaders(self) -> list[tuple[str, int]]:
         """Return two routers of each other data centre, those that may lead it."""
         by_zone: dict[str, list[Neighbour]] = {}
         for known in self._known.values():
@@ -191,6 +256,7 @@
         return link_mbps, _rank("leader", host)
 
 
+@functools.lru_cache(maxsize=RANKS_KEPT)
 def _rank(subject: str, host: str) -> bytes:
     """Return the rendezvous rank of a host for a subject."""
     text = f"{subject}\0{host}".encode()
--- a/bronzesail/router/peers.py
+++ b/bronzesail/router/peers.py
@@ -14,10 +14,10 @@
 import attrs
 import msgspec
 
-from .neighbourhood import Neighbour
+from .neighbourhood import Banker, Neighbour
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from .budget import BudgetBook
     from .log import Log
@@ -31,6 +31,7 @@
 ASK_TIMEOUT_S = 0.2  # 60 ms across regions, and a share of a slowed host.
 MAX_ASKS = 5  # Peers asked for one shortage.
 WANT_AHEAD_S = 2.0  # Demand that a transfer covers beyond the shortage.
+TELL_HOSTS_EVERY = 3  # Hellos of a leader; a list of hosts is as long as ten hellos.
 MAX_DATAGRAM = 60_000
 
 
@@ -44,6 +45,10 @@
     return ip, int(port)
 
 
+def _join_addresses(hosts: dict[str, tuple[str, int]]) -> dict[str, str]:
+    return {host: f"{ip}:{port}" for host, (ip, port) in hosts.items()}
+
+
 class Hello(msgspec.Struct, tag="hello"):
     """A router tells that it is there."""
 
@@ -59,15 +64,21 @@
     is_leaving: bool = False
     is_in_step: bool = False
     directory: str = ""  # Names the state of the directory, to see when it changes.
-    zone_hosts: dict[str, str] = {}  # A leader's neighbours, with their addresses.
+    hosts_by_zone: dict[
+        str, dict[str, str]
+    ] = {}  # What a leader tells, with addresses.
 
 
 class Ask(msgspec.Struct, tag="ask"):
-    """A router asks for tokens: at least one, at most `want`."""
+    """A router asks for tokens: at least `least`, at most `want`."""
 
     id: str
     account: str
     want: int
+    least: int = 1
+    is_banked: bool = (
+        False  # Asked of the account's banker, which has the time to refill.
+    )
 
 
 class Gift(msgspec.Struct, tag="gift"):
@@ -77,7 +88,8 @@
     ask: str
     account: str
     tokens: int
-    is_exhausted: bool = False  # The giver knows that nobody has more.
+    is_leftover: bool = False  # Had been asked for, and was not needed.
+    is_exhausted: bool = False  # The giver knows that nobody has as many.
 
 
 class GiftTaken(msgspec.Struct, tag="taken"):
@@ -112,10 +124,13 @@
         Returns the news to send.
     on_hello : callable
         Called with each peer's news.
-    on_shortage : callable
-        Called with an account and the tokens that a banker could not give.
-    is_exhausted : callable
-        Tells whether nobody has tokens of an account, as far as known.
+    on_ask : callable
+        Answers another router's question where this one is a banker: returns the
+        tokens passed on, and whether nobody has enough as far as known.
+    on_tokens : callable
+        Called after tokens have arrived.
+    incarnation : str
+        Names this process in the ids of what it asks and gives.
     """
 
     def __init__(
@@ -126,8 +141,9 @@
         neighbourhood: Neighbourhood,
         make_hello: Callable[[], Hello],
         on_hello: Callable[[Peer], None],
-        on_shortage: Callable[[str, int], None],
-        is_exhausted: Callable[[str], bool],
+        on_ask: Callable[[Ask], Awaitable[tuple[int, bool]]],
+        on_tokens: Callable[[], None],
+        incarnation: str,
     ) -> None:
         self._loop = loop
         self._book = book
@@ -135,8 +151,11 @@
         self._neighbourhood = neighbourhood
         self._make_hello = make_hello
         self._on_hello = on_hello
-        self._on_shortage = on_shortage
-        self._is_exhausted = is_exhausted
+        self._on_ask = on_ask
+        self._on_tokens = on_tokens
+        self._incarnation = incarnation
+        self._answering: dict[str, asyncio.Task[None]] = {}
+        self._hellos = 0
         self._transport: asyncio.DatagramTransport | None = None
         self._sequence = itertools.count(1)
         self._asks: dict[str, asyncio.Future[Gift]] = {}
@@ -169,9 +188,26 @@
 
     def tell(self) -> None:
         """Tell news now."""
-        hello = msgspec.msgpack.encode(self._make_hello())
-        for address in self._neighbourhood.list_targets():
-            self._send(hello, address)
+        hello = self._make_hello()
+        neighbourhood = self._neighbourhood
+        is_leader = neighbourhood.is_large and neighbourhood.find_leader() is None
+        self._hellos += 1
+        if is_leader and self._hellos % TELL_HOSTS_EVERY == 0:
+            hello.hosts_by_zone = {
+                zone: _join_addresses(hosts)
+                for zone, hosts in neighbourhood.list_other_zones().items()
+            }
+        encoded = msgspec.msgpack.encode(hello)
+        for address in neighbourhood.list_targets():
+            self._send(encoded, address)
+        if not is_leader:
+            return
+        hosts = neighbourhood.list_zone_hosts()
+        hosts[hello.host] = self._own_address
+        hello.hosts_by_zone = {hello.zone: _join_addresses(hosts)}
+        encoded = msgspec.msgpack.encode(hello)
+        for address in neighbourhood.list_other_leaders():
+            self._send(encoded, address)
 
     def list_live(self) -> list[Peer]:
         """Return the peers that were heard a short time ago."""
@@ -186,91 +222,100 @@
         """Return the tokens that live peers hold, as last told."""
         return sum(peer.hello.free.get(account, 0) for peer in self.list_live())
 
-    async def obtain(
-        self, account: str, shortage: int, demand_per_s: float
-    ) -> tuple[int, bool]:
-        """Ask others for tokens until the shortage is covered.
+    async def obtain(self, account: str, shortage: int, demand_per_s: float) -> int:
+        """Ask those that hold most for tokens until the shortage is covered.
 
         Returns
         -------
-        tuple of (int, bool)
-            The tokens that came, and whether a banker knows that nobody has more.
+        int
+            The tokens that came.
         """
         want = shortage + int(demand_per_s * WANT_AHEAD_S)
         got = 0
-        for host, address in self._list_givers(account)[:MAX_ASKS]:
-            gift = await self._ask(address, account, want - got)
-            if gift is None:
-                continue
-            got += gift.tokens
-            self._log.write(
-                "budget: tokens asked of a peer",
-                account=account,
-                peer=host,
-                want=want - got + gift.tokens,
-                got=gift.tokens,
-            )
+        for peer in self._list_givers(account):
+            ask = Ask(self._make_id(), account, want - got)
+            gift = await self._ask(ask, peer.hello.host, peer.address)
+            got += gift.tokens if gift is not None else 0
             if got >= shortage:
-                return got, False
-            if gift.is_exhausted:
-                return got, True
-        return got, False
-
-    def _list_givers(self, account: str) -> list[tuple[str, tuple[str, int]]]:
-        """Return host and address of those to ask, in their order."""
-        bankers = self._neighbourhood.rank_bankers(account)
-        if bankers:
-            return [(banker.host, banker.address) for banker in bankers[:2]]
+                break
+        return got
+
+    async def ask_banker(
+        self, banker: Banker, account: str, want: int, least: int, *, is_banked: bool
+    ) -> Gift | None:
+        """Ask a banker for tokens; return None if it does not answer.
+
+        `is_banked` says that it is this region's banker, which refills for the asker.
+        """
+        ask = Ask(self._make_id(), account, want, least, is_banked)
+        return await self._ask(ask, banker.host, banker.address)
+
+    def _list_givers(self, account: str) -> list[Peer]:
+        """Return the peers to ask, those that hold most first."""
         peers = [p for p in self.list_live() if p.hello.free.get(account, 0) > 0]
         peers.sort(key=lambda peer: -peer.hello.free[account])
-        givers = [(peer.hello.host, peer.address) for peer in peers]
         for peer in peers[:MAX_ASKS]:
             peer.hello.free.pop(account, None)
-        if self._neighbourhood.is_large:
-            givers = givers[:2] + self._neighbourhood.find_other_bankers(account)
-        return givers
+        return peers[:MAX_ASKS]
 
     async def give_away(self, account: str, tokens: int) -> bool:
         """Pass tokens on to some peer before this process ends."""
-        for peer in self.list_live()[:3]:
-            gift = Gift(self._make_id(), "", account, tokens)
-            confirmation = self._loop.create_future()
-            self._confirmations[gift.id] = confirmation
-            encoded = msgspec.msgpack.encode(gift)
-            for _ in range(3):
-                self._send(encoded, peer.address)
-                try:
-                    async with asyncio.timeout(ASK_TIMEOUT_S):
-                        await asyncio.shield(confirmation)
-                    return True
-                except TimeoutError:
-                    continue
-            # The gift may have arrived: it cannot be given to another.
-            return False
+        for peer in self.list_live():
+            return await self.give(peer.address, account, tokens)
         return False
 
-    async def _ask(
-        self, address: tuple[str, int], account: str, want: int
-    ) -> Gift | None:
-        ask = Ask(self._make_id(), account, want)
+    async def give(
+        self,
+        address: tuple[str, int],
+        account: str,
+        tokens: int,
+        *,
+        is_leftover: bool = False,
+    ) -> bool:
+        """Pass tokens on that were not asked for; tell whether they have arrived.
+
+        Without a confirmation they may have arrived: nobody else can be given them.
+        """
+        gift = Gift(self._make_id(), "", account, tokens, is_leftover)
+        confirmation = self._loop.create_future()
+        self._confirmations[gift.id] = confirmation
+        encoded = msgspec.msgpack.encode(gift)
+        for _ in range(3):
+            self._send(encoded, address)
+            try:
+                async with asyncio.timeout(ASK_TIMEOUT_S):
+                    await asyncio.shield(confirmation)
+                return True
+            except TimeoutError:
+                continue
+        return False
+
+    async def _ask(self, ask: Ask, host: str, address: tuple[str, int]) -> Gift | None:
         future: asyncio.Future[Gift] = self._loop.create_future()
         self._asks[ask.id] = future
         encoded = msgspec.msgpack.encode(ask)
-        try:
-            for _ in range(2):
-                self._send(encoded, address)
-                try:
-                    async with asyncio.timeout(ASK_TIMEOUT_S):
-                        return await asyncio.shield(future)
-                except TimeoutError:
-                    continue
-            return None
-        finally:
-            # An answer that comes later is taken in all the same.
-            self._loop.call_later(FORGET_S, self._asks.pop, ask.id, None)
+        gift: Gift | None = None
+        for _ in range(2):
+            self._send(encoded, address)
+            try:
+                async with asyncio.timeout(ASK_TIMEOUT_S):
+                    gift = await asyncio.shield(future)
+                break
+            except TimeoutError:
+                continue
+        # An answer that comes later is taken in all the same.
+        self._loop.call_later(FORGET_S, self._asks.pop, ask.id, None)
+        self._log.write(
+            "budget: tokens asked of a peer",
+            account=ask.account,
+            peer=host,
+            want=ask.want,
+            got=None if gift is None else gift.tokens,
+        )
+        return gift
 
     def _make_id(self) -> str:
-        return f"{self._make_hello().incarnation}:{next(self._sequence)}"
+        return f"{self._incarnation}:{next(self._sequence)}"
 
     def _send(self, data: bytes, address: tuple[str, int]) -> None:
         if self._transport is None or self._transport.is_closing():
@@ -312,7 +357,10 @@
                 is_leaving=hello.is_leaving,
                 is_in_step=hello.is_in_step,
             ),
-            {host: split_address(text) for host, text in hello.zone_hosts.items()},
+            {
+                zone: {host: split_address(text) for host, text in hosts.items()}
+                for zone, hosts in hello.hosts_by_zone.items()
+            },
         )
         peer = Peer(hello=hello, address=address, heard_at=self._loop.time())
         before = self.by_host.get(hello.host)
@@ -325,19 +373,40 @@
 
     def _answer(self, ask: Ask, address: tuple[str, int]) -> None:
         known = self._given.get(ask.id)
-        if known is None:
-            is_banker = self._neighbourhood.is_large
-            tokens = self._book.pass_on(ask.account, ask.want, is_banker=is_banker)
-            is_exhausted = tokens < ask.want and self._is_exhausted(ask.account)
-            gift = Gift(self._make_id(), ask.id, ask.account, tokens, is_exhausted)
-            if tokens < ask.want and is_banker:
-                self._on_shortage(ask.account, ask.want - tokens)
-            known = self._given[ask.id] = (self._loop.time(), gift)
-            if tokens:
-                self._log.write(
-                    "budget: tokens passed on", account=ask.account, tokens=tokens
-                )
-        self._send(msgspec.msgpack.encode(known[1]), address)
+        if known is not None:
+            self._send(msgspec.msgpack.encode(known[1]), address)
+            return
+        if ask.id in self._answering:
+            return
+        if not ask.is_banked:
+            tokens = self._book.pass_on(ask.account, ask.want, ask.least)
+            self._give_asked(ask, address, tokens)
+            return
+        task = self._loop.create_task(self._answer_as_banker(ask, address))
+        self._answering[ask.id] = task
+        task.add_done_callback(lambda _: self._answering.pop(ask.id, None))
+
+    async def _answer_as_banker(self, ask: Ask, address: tuple[str, int]) -> None:
+        tokens, is_exhausted = await self._on_ask(ask)
+        self._give_asked(ask, address, tokens, is_exhausted=is_exhausted)
+
+    def _give_asked(
+        self,
+        ask: Ask,
+        address: tuple[str, int],
+        tokens: int,
+        *,
+        is_exhausted: bool = False,
+    ) -> None:
+        gift = Gift(
+            self._make_id(), ask.id, ask.account, tokens, is_exhausted=is_exhausted
+        )
+        self._given[ask.id] = (self._loop.time(), gift)
+        if tokens:
+            self._log.write(
+                "budget: tokens passed on", account=ask.account, tokens=tokens
+            )
+        self._send(msgspec.msgpack.encode(gift), address)
 
     def _take_gift(self, gift: Gift, address: tuple[str, int]) -> None:
         if not gift.ask:
@@ -347,10 +416,15 @@
         if gift.id in self._taken:
             return
         self._taken[gift.id] = self._loop.time()
-        self._book.receive(gift.account, gift.tokens)
+        if gift.is_leftover:
+            self._book.take_back(gift.account, gift.tokens)
+        else:
+            self._book.receive(gift.account, gift.tokens)
         future = self._asks.get(gift.ask)
         if future is not None and not future.done():
             future.set_result(gift)
+        if gift.tokens:
+            self._on_tokens()
 
     def _forget_old(self) -> None:
         now = self._loop.time()
--- a/tests/test_router/test_budget_desk.py
+++ b/tests/test_router/test_budget_desk.py
@@ -12,7 +12,9 @@
 from bronzesail.errors import ResultCode
 from bronzesail.router.budget import LEASE_S, BudgetBook
 from bronzesail.router.budget_desk import BudgetDesk
-from bronzesail.router.neighbourhood import Neighbourhood
+from bronzesail.router.neighbourhood import SMALL_FLEET, Neighbourhood
+from bronzesail.router.peers import Ask, Gift
+from tests.platform_standin import wait_until
 from tests.router_fakes import SilentLog
 
 
@@ -41,7 +43,7 @@
     async def obtain(self, account, shortage, demand_per_s):
         self.asked += 1
         self.book.receive(account, shortage)
-        return shortage, False
+        return shortage
 
     def give(self, tokens):
         self.book.receive("a", tokens)
@@ -142,3 +144,112 @@
         assert await waiting is None
 
     asyncio.run(run())
+
+
+class LargeFleet(Desk):
+    """A desk in a large fleet; other routers answer with what `gifts` holds."""
+
+    def __init__(self, gifts=(), *, is_banker=False):
+        super().__init__()
+        neighbourhood = self.desk._neighbourhood
+        for number in range(SMALL_FLEET + 1):
+            neighbourhood.note_row(f"n{number}", "z1", (f"10.0.0.{number}", 1), 100.0)
+        if is_banker:
+            neighbourhood.rank_bankers = lambda account: []
+        self.gifts = list(gifts)
+        self.asks = []
+        self.returned = []
+        self.desk._peers.ask_banker = self.ask_banker
+        self.desk._peers.give = self.give_to
+
+    async def ask_banker(self, banker, account, want, least, *, is_banked):
+        self.asks.append((banker, want, least, is_banked))
+        gift = self.gifts.pop(0)
+        if gift is not None:
+            self.book.receive(account, gift.tokens)
+        return gift
+
+    async def give_to(self, address, account, tokens, *, is_leftover):
+        self.returned.append((address, account, tokens))
+        return True
+
+
+def make_gift(tokens, *, is_exhausted=False):
+    return Gift("g", "q", "a", tokens, is_exhausted=is_exhausted)
+
+
+def test_a_banker_is_asked_for_what_the_request_needs():
+    async def run():
+        fleet = LargeFleet([make_gift(200)])
+        fleet.book.receive("a", 50)
+        assert await fleet.reserve(250) is None
+        ((banker, want, least, is_banked),) = fleet.asks
+        assert banker.host == fleet.desk._neighbourhood.rank_bankers("a")[0].host
+        assert (want, least, is_banked) == (200, 200, True)
+
+    asyncio.run(run())
+
+
+def test_the_next_banker_is_asked_where_the_first_is_silent():
+    async def run():
+        fleet = LargeFleet([None, make_gift(250)])
+        assert await fleet.reserve(250) is None
+        assert fleet.asks[0][0] != fleet.asks[1][0]
+
+    asyncio.run(run())
+
+
+def test_a_banker_that_has_too_little_for_a_large_request_ends_only_such_requests():
+    async def run():
+        fleet = LargeFleet([make_gift(0, is_exhausted=True), make_gift(10)])
+        refusal = await fleet.reserve(900, max_wait_s=0.1)
+        assert refusal.code is ResultCode.BUDGET_EXHAUSTED
+        assert await fleet.reserve(10) is None
+
+    asyncio.run(run())
+
+
+def test_routers_that_ask_wait_in_the_line_of_the_banker():
+    async def run():
+        fleet = LargeFleet(is_banker=True)
+        fleet.book.see_account("a", 0, 1)
+        ask = Ask("q", "a", 300, 200, is_banked=True)
+        waiting = asyncio.create_task(fleet.desk.serve_ask(ask))
+        await asyncio.sleep(0)
+        assert not waiting.done()
+        fleet.give(250)
+        assert await waiting == (250, False)
+        holding = fleet.book.get_holding("a")
+        assert (holding.passed, holding.free) == (250, 0)
+        assert holding.demand_per_s > 0
+
+    asyncio.run(run())
+
+
+def test_a_banker_asks_other_regions_before_it_says_that_nobody_has_tokens():
+    async def run():
+        fleet = LargeFleet([make_gift(0), make_gift(500)], is_banker=True)
+        fleet.book.see_account("a", 1_000, 1)
+        fleet.desk._neighbourhood.find_other_bankers = lambda account: ["far"]
+        ask = Ask("q", "a", 300, 200, is_banked=True)
+        assert await fleet.desk.serve_ask(ask) == (0, True)
+        fleet.time += 1.0  # What the other region said is old by then.
+        assert await fleet.desk.serve_ask(ask) == (300, False)
+        assert [is_banked for _, _, _, is_banked in fleet.asks] == [False, False]
+
+    asyncio.run(run())
+
+
+def test_what_a_request_did_not_use_goes_back_to_the_banker():
+    async def run():
+        fleet = LargeFleet([make_gift(200)])
+        assert await fleet.reserve(200) is None
+        fleet.book.settle("a", 200, 150)
+        returning = asyncio.create_task(fleet.desk.return_leftovers())
+        await wait_until(lambda: fleet.returned)
+        returning.cancel()
+        ((_, account, tokens),) = fleet.returned
+        assert (account, tokens) == ("a", 50)
+        assert fleet.book.get_holding("a").free == 0
+
+    asyncio.run(run())
--- a/tests/test_router/test_neighbourhood.py
+++ b/tests/test_router/test_neighbourhood.py
@@ -4,9 +4,16 @@
 
 import pytest
 
-from bronzesail.router.neighbourhood import LIVE_S, SMALL_FLEET, Neighbourhood
+from bronzesail.router.neighbourhood import (
+    LIVE_S,
+    SMALL_FLEET,
+    SUSPECT_S,
+    TOLD_S,
+    Neighbourhood,
+)
 
 ZONES = ("z1", "z2", "z3")
+REGIONS = {"z1": "r1", "z2": "r1", "z3": "r2"}
 ACCOUNTS = [f"account-{number}" for number in range(40)]
 
 
@@ -19,7 +26,8 @@
         links = links or {}
         hosts = [(f"{zone}-{n}", zone) for zone in ZONES for n in range(per_zone)]
         for host, zone in hosts:
-            view = Neighbourhood(host, zone, links.get(host, 100.0), lambda: self.time)
+            link = links.get(host, 100.0)
+            view = Neighbourhood(host, zone, link, lambda: self.time, REGIONS)
             for other, other_zone in hosts:
                 link = links.get(other, 100.0)
                 view.note_row(other, other_zone, (other, 1), link)
@@ -28,6 +36,17 @@
     def list_zone(self, zone):
         return [view for host, view in self.views.items() if host.startswith(zone)]
 
+    def tell_hosts(self, without=()):
+        """Let every router learn the live ones of all data centres from its leader."""
+        for zone in ZONES:
+            for host, view in self.views.items():
+                if host.startswith(zone):
+                    continue
+                hosts = {h: (h, 1) for h in self.views if h.startswith(zone)}
+                for gone in without:
+                    hosts.pop(gone, None)
+                view.note_hello(view._known[f"{zone}-0"], {zone: hosts})
+
     def hear(self, hosts):
         """Let the routers of each data centre hear those in `hosts`."""
         for view in self.views.values():
@@ -96,23 +115,52 @@
 
 def test_news_stay_in_the_data_centre_but_for_the_leader():
     fleet = Fleet(10, {"z1-4": 1000.0})
-    targets = {address[0] for address in fleet.views["z1-1"].list_targets()}
-    assert targets == {f"z1-{n}" for n in range(10) if n != 1}
-    others = {
-        address[0]
-        for address in fleet.views["z1-4"].list_targets()
-        if not address[0].startswith("z1")
-    }
+    for name in ("z1-1", "z1-4"):
+        targets = {address[0] for address in fleet.views[name].list_targets()}
+        assert targets == {f"z1-{n}" for n in range(10) if f"z1-{n}" != name}
+    others = {address[0] for address in fleet.views["z1-4"].list_other_leaders()}
     assert len(others) == 2 * (len(ZONES) - 1)
+    assert not any(name.startswith("z1") for name in others)
 
 
-def test_bankers_of_other_data_centres_are_found_from_their_leaders_news():
+def test_each_account_has_one_banker_in_a_region():
     fleet = Fleet(10)
-    view = fleet.views["z1-1"]
-    leader = view._known["z2-0"]
-    hosts = {f"z2-{n}": ("10.2.0.1", n) for n in range(10)}
-    view.note_hello(leader, hosts)
+    fleet.tell_hosts()
+    for account in ACCOUNTS:
+        for zones in (("z1", "z2"), ("z3",)):
+            views = [v for v in fleet.views.values() if v._zone in zones]
+            (banker,) = [v for v in views if not v.rank_bankers(account)]
+            others = [v for v in views if v is not banker]
+            assert {v.rank_bankers(account)[0].host for v in others} == {banker._host}
+
+
+def test_a_banker_that_did_not_answer_is_passed_over_for_a_while():
+    fleet = Fleet(10)
+    fleet.tell_hosts()
+    view = next(v for v in fleet.views.values() if len(v.rank_bankers("a")) > 1)
+    first, second = view.rank_bankers("a")[:2]
+    view.suspect(first.host)
+    assert view.rank_bankers("a")[0] == second
+    fleet.time += SUSPECT_S + 0.1
+    fleet.hear(fleet.views)
+    assert view.rank_bankers("a")[0] == first
+
+
+def test_what_a_leader_told_long_ago_is_not_believed():
+    fleet = Fleet(10)
+    fleet.tell_hosts()
+    fleet.time += TOLD_S + 0.1
+    fleet.hear(fleet.views)
+    bankers = fleet.views["z1-1"].rank_bankers("a")
+    assert all(banker.host.startswith("z1") for banker in bankers)
+    assert fleet.views["z1-1"].find_other_bankers("a") == []
+
+
+def test_bankers_of_other_regions_are_found_from_the_leaders_news():
+    fleet = Fleet(10)
+    fleet.tell_hosts()
     for account in ACCOUNTS:
-        ((host, address),) = view.find_other_bankers(account)
-        assert not fleet.views[host].rank_bankers(account)
-        assert address == hosts[host]
+        (banker,) = fleet.views["z1-1"].find_other_bankers(account)
+        assert not fleet.views[banker.host].rank_bankers(account)
+        assert banker.host.startswith("z3")
+    assert fleet.views["z1-1"].count_regions() == 2
