budget: a banker says why tokens cannot be had; only what nobody keeps is a 402

Change: the gift carries the result code, and what its giver keeps unspent; tokens that another region keeps, or that its banker did not answer for, are out of reach (503 with a time to come back), not used up. Tests: two of the desk, both fail without the code.

--- a/bronzesail/router/budget_desk.py
+++ b/bronzesail/router/budget_desk.py
@@ -42,9 +42,10 @@
 
 @attrs.frozen
 class _Told:
-    """What others said of an account: that they cannot give as many tokens."""
+    """What others said of an account: why as many tokens cannot be had now."""
 
     tokens: int
+    code: ResultCode
     until: float
 
 
@@ -94,8 +95,8 @@
         refusal = self._judge(account, tokens, request_id)
         return refusal or self._refuse_unreachable(account, tokens, request_id)
 
-    async def serve_ask(self, ask: Ask) -> tuple[int, bool]:
-        """Pass tokens on as a banker; say whether nobody has as many.
+    async def serve_ask(self, ask: Ask) -> tuple[int, ResultCode | None]:
+        """Pass tokens on as a banker, or say why as many cannot be had.
 
         Routers that ask and requests of this host wait in the same line.
         """
@@ -104,12 +105,12 @@
             given = self._book.serve(account, ask.want, least)
             if given:
                 self._renew_early(account)
-                return given, False
-        if self._find_exhaustion(account, least) is not None:
-            return 0, True
+                return given, None
+        lack = self._find_lack(account, least)
+        if lack is not None:
+            return 0, lack
         given = await self._wait(account, least, ASK_HOLD_S, ask.want)
-        is_exhausted = not given and self._find_exhaustion(account, least) is not None
-        return given, is_exhausted
+        return given, None if given else self._find_lack(account, least)
 
     async def _wait(
         self, account: str, tokens: int, wait_s: float, want: int = 0
@@ -157,7 +158,7 @@
 
     def _judge(self, account: str, tokens: int, request_id: str) -> Refusal | None:
         """Return the refusal of a request that nobody has the tokens for."""
-        code = self._find_exhaustion(account, tokens)
+        code = self._find_lack(account, tokens)
         if code is None:
             return None
         if code is ResultCode.BUDGET_UNREACHABLE:
@@ -179,37 +180,35 @@
         expected = self._book.get_holding(account).expected
         return expected + self._peers.count_free(account)
 
-    def _find_exhaustion(self, account: str, tokens: int) -> ResultCode | None:
+    def _find_lack(self, account: str, tokens: int) -> ResultCode | None:
         """Say why as many tokens cannot be had now, None if they may be."""
+        told = self._find_told(account, tokens)
         if self._neighbourhood.rank_bankers(account):
-            is_told = self._is_told(account, tokens)
-            return ResultCode.BUDGET_EXHAUSTED if is_told else None
+            return told
         reachable = self._count_reachable(account)
+        if self._neighbourhood.is_large and told is None:
+            return None  # Bankers of other regions are asked first.
         if not self._is_known():
             if reachable >= tokens or not self._book.is_past_lease():
                 return None
-            if self._neighbourhood.is_large and not self._is_told(account, tokens):
-                return None  # Other regions' bankers are asked first.
             return ResultCode.BUDGET_UNREACHABLE
         if reachable + max(0, self._book.left_in_store(account)) >= tokens:
             return None
-        if self._neighbourhood.is_large and not self._is_told(account, tokens):
-            return None
-        return ResultCode.BUDGET_EXHAUSTED
+        return told or ResultCode.BUDGET_EXHAUSTED
 
-    def _is_told(self, account: str, tokens: int) -> bool:
-        """Whether those that were asked said a moment ago that they lack as many."""
+    def _find_told(self, account: str, tokens: int) -> ResultCode | None:
+        """Return what others said a moment ago of as many tokens."""
         told = self._told.get(account)
-        return (
-            told is not None and told.until > self._book.now() and told.tokens <= tokens
-        )
+        if told is None or told.until < self._book.now() or told.tokens > tokens:
+            return None
+        return told.code
 
-    def _note_told(self, account: str, tokens: int) -> None:
+    def _note_told(self, account: str, tokens: int, code: ResultCode) -> None:
         now = self._book.now()
         known = self._told.get(account)
-        if known is not None and known.until > now:
+        if known is not None and known.until > now and known.code is code:
             tokens = min(tokens, known.tokens)
-        self._told[account] = _Told(tokens, now + EXHAUSTED_S)
+        self._told[account] = _Told(tokens, code, now + EXHAUSTED_S)
 
     def _is_known(self) -> bool:
         """Whether the store's rows of accounts were seen a moment ago."""
@@ -272,6 +271,7 @@
             return await self._ask_banker(bankers[0], account, shortage, least)
         want = shortage + int(demand_per_s * FROM_REGION_S)
         got = 0
+        code = ResultCode.BUDGET_EXHAUSTED
         for other in self._neighbourhood.find_other_bankers(account):
             gift = await self._peers.ask_banker(
                 other, account, want - got, least, is_banked=False
@@ -279,8 +279,10 @@
             got += gift.tokens if gift is not None else 0
             if got >= shortage:
                 break
+            if gift is None or gift.kept >= least:
+                code = ResultCode.BUDGET_UNREACHABLE
         if not got:
-            self._note_told(account, least)
+            self._note_told(account, least, code)
         return got
 
     async def _ask_banker(
@@ -292,8 +294,8 @@
         if gift is None:
             self._neighbourhood.suspect(banker.host)
             return 0
-        if gift.is_exhausted:
-            self._note_told(account, least)
+        if gift.lack:
+            self._note_told(account, least, ResultCode(gift.lack))
         return gift.tokens
 
     async def return_leftovers(self) -> None:
@@ -343,7 +345,7 @@
         for waiter in self._waiters.get(account, ()):
             if waiter.future.done():
                 continue
-            if self._find_exhaustion(account, waiter.tokens) is not None:
+            if self._find_lack(account, waiter.tokens) is not None:
                 waiter.future.set_result(0)
 
     async def _obtain(self, account: str) -> None:
--- a/bronzesail/router/peers.py
+++ b/bronzesail/router/peers.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from ..errors import ResultCode
     from .budget import BudgetBook
     from .log import Log
     from .neighbourhood import Neighbourhood
@@ -89,7 +90,8 @@
     account: str
     tokens: int
     is_leftover: bool = False  # Had been asked for, and was not needed.
-    is_exhausted: bool = False  # The giver knows that nobody has as many.
+    lack: int = 0  # Result code that says why as many cannot be had, 0 if they may be.
+    kept: int = 0  # Tokens that the giver still holds unspent.
 
 
 class GiftTaken(msgspec.Struct, tag="taken"):
@@ -126,7 +128,7 @@
         Called with each peer's news.
     on_ask : callable
         Answers another router's question where this one is a banker: returns the
-        tokens passed on, and whether nobody has enough as far as known.
+        tokens passed on, and why not more can be had where that is known.
     on_tokens : callable
         Called after tokens have arrived.
     incarnation : str
@@ -141,7 +143,7 @@
         neighbourhood: Neighbourhood,
         make_hello: Callable[[], Hello],
         on_hello: Callable[[Peer], None],
-        on_ask: Callable[[Ask], Awaitable[tuple[int, bool]]],
+        on_ask: Callable[[Ask], Awaitable[tuple[int, ResultCode | None]]],
         on_tokens: Callable[[], None],
         incarnation: str,
     ) -> None:
@@ -387,19 +389,23 @@
         task.add_done_callback(lambda _: self._answering.pop(ask.id, None))
 
     async def _answer_as_banker(self, ask: Ask, address: tuple[str, int]) -> None:
-        tokens, is_exhausted = await self._on_ask(ask)
-        self._give_asked(ask, address, tokens, is_exhausted=is_exhausted)
+        tokens, lack = await self._on_ask(ask)
+        self._give_asked(ask, address, tokens, lack)
 
     def _give_asked(
         self,
         ask: Ask,
         address: tuple[str, int],
         tokens: int,
-        *,
-        is_exhausted: bool = False,
+        lack: ResultCode | None = None,
     ) -> None:
         gift = Gift(
-            self._make_id(), ask.id, ask.account, tokens, is_exhausted=is_exhausted
+            self._make_id(),
+            ask.id,
+            ask.account,
+            tokens,
+            lack=lack or 0,
+            kept=self._book.get_holding(ask.account).expected,
         )
         self._given[ask.id] = (self._loop.time(), gift)
         if tokens:
--- a/tests/test_router/test_budget_desk.py
+++ b/tests/test_router/test_budget_desk.py
@@ -174,8 +174,8 @@
         return True
 
 
-def make_gift(tokens, *, is_exhausted=False):
-    return Gift("g", "q", "a", tokens, is_exhausted=is_exhausted)
+def make_gift(tokens, lack=0, kept=0):
+    return Gift("g", "q", "a", tokens, lack=lack, kept=kept)
 
 
 def test_a_banker_is_asked_for_what_the_request_needs():
@@ -201,7 +201,8 @@
 
 def test_a_banker_that_has_too_little_for_a_large_request_ends_only_such_requests():
     async def run():
-        fleet = LargeFleet([make_gift(0, is_exhausted=True), make_gift(10)])
+        exhausted = make_gift(0, ResultCode.BUDGET_EXHAUSTED)
+        fleet = LargeFleet([exhausted, make_gift(10)])
         refusal = await fleet.reserve(900, max_wait_s=0.1)
         assert refusal.code is ResultCode.BUDGET_EXHAUSTED
         assert await fleet.reserve(10) is None
@@ -218,7 +219,7 @@
         await asyncio.sleep(0)
         assert not waiting.done()
         fleet.give(250)
-        assert await waiting == (250, False)
+        assert await waiting == (250, None)
         holding = fleet.book.get_holding("a")
         assert (holding.passed, holding.free) == (250, 0)
         assert holding.demand_per_s > 0
@@ -232,9 +233,10 @@
         fleet.book.see_account("a", 1_000, 1)
         fleet.desk._neighbourhood.find_other_bankers = lambda account: ["far"]
         ask = Ask("q", "a", 300, 200, is_banked=True)
-        assert await fleet.desk.serve_ask(ask) == (0, True)
+        lack = ResultCode.BUDGET_EXHAUSTED
+        assert await fleet.desk.serve_ask(ask) == (0, lack)
         fleet.time += 1.0  # What the other region said is old by then.
-        assert await fleet.desk.serve_ask(ask) == (300, False)
+        assert await fleet.desk.serve_ask(ask) == (300, None)
         assert [is_banked for _, _, _, is_banked in fleet.asks] == [False, False]
 
     asyncio.run(run())
@@ -253,3 +255,26 @@
         assert fleet.book.get_holding("a").free == 0
 
     asyncio.run(run())
+
+
+def test_a_banker_that_lacks_the_store_does_not_say_that_nobody_has_tokens():
+    async def run():
+        unreachable = make_gift(0, ResultCode.BUDGET_UNREACHABLE)
+        fleet = LargeFleet([unreachable])
+        refusal = await fleet.reserve(900, max_wait_s=0.1)
+        assert refusal.code is ResultCode.BUDGET_UNREACHABLE
+        assert refusal.retry_after_s > 0
+
+    asyncio.run(run())
+
+
+def test_tokens_that_another_region_keeps_are_not_said_to_be_used_up():
+    async def run():
+        fleet = LargeFleet([make_gift(0, kept=5_000)], is_banker=True)
+        fleet.book.see_account("a", 1_000, 1)
+        fleet.desk._neighbourhood.find_other_bankers = lambda account: ["far"]
+        ask = Ask("q", "a", 300, 200, is_banked=True)
+        lack = ResultCode.BUDGET_UNREACHABLE
+        assert await fleet.desk.serve_ask(ask) == (0, lack)
+
+    asyncio.run(run())
