budget: first grants are taken once, and the last tokens go out whole

Change: a router that was granted tokens once gets no first grant again; what is left is handed out whole when it is less than twice what a refill must bring. Tests: two, both fail before.

--- a/bronzesail/router/budget.py
+++ b/bronzesail/router/budget.py
@@ -81,6 +81,7 @@
     out: int = 0
     version: int = 0
     wanted: int = 0
+    has_been_granted: bool = False  # What was given back unused is not taken again.
 
     @property
     def held(self) -> int:
@@ -435,19 +436,22 @@
         demand = holding.demand_per_s
         is_scarce = left < prepaid * SCARCE_SHARE
         first = int(prepaid * FIRST_SHARE / hosts) if hosts else 0
-        is_unused = holding.settled == 0 and not is_scarce
-        floor = max(first if is_unused else 0, int(holding.largest))
+        is_first = not holding.has_been_granted and not is_scarce
+        floor = max(first if is_first else 0, int(holding.largest))
         target = max(int(demand * HOLD_AHEAD_S), floor, holding.wanted * WANTED_FACTOR)
         if is_scarce and holding.free > 2 * target:
             return -(holding.free - target)
         below = max(int(demand * REFILL_BELOW_S), floor // 2, holding.wanted)
         if holding.free >= below:
             return 0
-        most = max(int(left * SPENDABLE_SHARE), min(left, holding.wanted))
-        change = max(0, min(target - holding.free, most))
-        # Less than one request needs is left to a router that can use it.
+        # Less than one request needs is left to a router that can use it; the last
+        # tokens go to one router whole, so that an outage strands none in the store.
         least = max(holding.typical, demand)
-        return change if change >= least or holding.wanted else 0
+        is_last = left < 2 * least
+        most = left if is_last else int(left * SPENDABLE_SHARE)
+        most = max(most, min(left, holding.wanted))
+        change = max(0, min(target - holding.free, most))
+        return change if change >= least or is_last or holding.wanted else 0
 
     def _plan_limit(self, holding: Holding, total: int) -> tuple[int, int]:
         """Return the limit to write, at least what is spent, and the pace."""
@@ -466,6 +470,7 @@
             holding = self.get_holding(account)
             if change > 0:
                 holding.granted += change
+                holding.has_been_granted = True
                 holding.wanted = 0
             if version >= holding.version:
                 holding.version = version
--- a/tests/test_router/test_budget.py
+++ b/tests/test_router/test_budget.py
@@ -204,3 +204,26 @@
     holding = world.book.get_holding("a")
     assert holding.free > 0
     assert world.book.count_spendable("a") == holding.free
+
+
+def test_the_last_tokens_of_an_account_are_handed_out_whole():
+    world = World()
+    world.renew()
+    world.version += 1
+    world.book.see_account("a", 9_000, world.version)
+    world.book.get_holding("a").demand_per_s = 2_000.0
+    assert world.renew().grants == {"a": 1_000}
+
+
+def test_what_was_given_back_unused_is_not_taken_again():
+    world = World()
+    world.renew()
+    assert world.book.get_holding("a").free > 0
+    world.version += 1
+    world.book.see_account("a", 9_000, world.version)  # Others took nearly all.
+    assert world.renew().grants["a"] < 0
+    for _ in range(5):
+        world.time += 0.25
+        world.version += 1
+        world.book.see_account("a", 5_000, world.version)
+        assert world.renew().grants == {}
