budget: a wait that ended in vain reserved nothing

Found in a read of the change: the wait of a request that needs more than anybody has ends with 0 tokens, and a caller that left at that moment made the router release tokens that it had not reserved. Test: test_a_caller_that_leaves_as_its_wait_ends_in_vain_releases_nothing failed before.

--- a/bronzesail/router/budget_desk.py
+++ b/bronzesail/router/budget_desk.py
@@ -147,7 +147,8 @@
         waiters = self._waiters[account]
         if waiter in waiters:
             waiters.remove(waiter)
-        is_granted = waiter.future.done() and not waiter.future.cancelled()
+        future = waiter.future
+        is_granted = future.done() and not future.cancelled() and future.result() > 0
         if not waiters:
             del self._waiters[account]
             if is_granted:
--- a/tests/test_router/test_budget_desk.py
+++ b/tests/test_router/test_budget_desk.py
@@ -278,3 +278,18 @@
         assert await fleet.desk.serve_ask(ask) == (0, lack)
 
     asyncio.run(run())
+
+
+def test_a_caller_that_leaves_as_its_wait_ends_in_vain_releases_nothing():
+    async def run():
+        fleet = LargeFleet()
+        waiting = asyncio.create_task(fleet.reserve(100))
+        await asyncio.sleep(0)
+        (waiter,) = fleet.desk._waiters["a"]
+        waiter.future.set_result(0)
+        waiting.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await waiting
+        assert fleet.book.get_holding("a").reserved == 0
+
+    asyncio.run(run())
