--- a/tests/test_router/test_budget.py
+++ b/tests/test_router/test_budget.py
@@ -41,9 +41,9 @@
 def test_spending_stays_below_the_limit_while_a_renewal_in_doubt_may_show_a_lease():
     world = World()
     world.renew()
-    world.time += 1.0
+    world.time += 0.6 * LEASE_S
     in_doubt = world.plan()  # Carried out, and its answer is lost.
-    world.time += 1.0
+    world.time += 0.6 * LEASE_S
     # The known row's lease has ended; that of the row in doubt has not.
     assert not world.book.is_past_lease()
     world.spend(world.book.count_spendable("a"))
