tests: a higher limit is not spent before it is known to be written

Cause: the new mutant in which the known row does not bind beside one in doubt was missed by all tests.

--- a/tests/test_router/test_budget.py
+++ b/tests/test_router/test_budget.py
@@ -261,3 +261,16 @@
     world.book.ahead_share = 0.1
     held = world.renew().grants["a"]
     assert world.book.count_spendable("a") == held // 10
+
+
+def test_a_higher_limit_is_not_spent_before_it_is_known_to_be_written():
+    world = World()
+    world.book.want("a", 100)
+    known = world.renew()
+    world.book.want("a", 2_000)
+    world.plan()  # Never carried out.
+    world.time += 0.5
+    world.spend(world.book.count_spendable("a"))
+    held, limit, _ = known.row.held["a"]
+    assert world.count_spent() == limit
+    assert world.count_spent() + reclaim(known.row, world.time)["a"] <= held
