--- a/bronzesail/router/neighbourhood.py
+++ b/bronzesail/router/neighbourhood.py
@@ -164,7 +164,7 @@
     def find_other_bankers(self, account: str) -> list[Banker]:
         """Return the account's banker in each other region."""
         best: dict[str, tuple[bytes, Banker]] = {}
-        for zone, hosts in self._list_told():
+        for zone, hosts in self.list_other_zones().items():
             region = self._find_region(zone)
             if region == self._find_region(self._zone):
                 continue
@@ -174,6 +174,13 @@
                     best[region] = rank, Banker(host, address)
         return [banker for _, banker in best.values()]
 
+    def list_other_zones(self) -> dict[str, dict[str, tuple[str, int]]]:
+        """Return the live routers of the other data centres, as leaders told."""
+        now = self._now()
+        return {
+            zone: hosts for zone, (at, hosts) in self._told.items() if now - at < TOLD_S
+        }
+
     def count_regions(self) -> int:
         """Return how many regions have routers, as far as known."""
         zones = {known.zone for known in self._known.values()} | {self._zone}
@@ -189,7 +196,7 @@
     def _list_region(self) -> dict[str, tuple[str, int]]:
         """Return the live routers of this region but this one."""
         hosts = self.list_zone_hosts()
-        for zone, told in self._list_told():
+        for zone, told in self.list_other_zones().items():
             if self._find_region(zone) == self._find_region(self._zone):
                 hosts.update(told)
         now = self._now()
@@ -200,18 +207,6 @@
                 hosts.pop(host, None)
         return hosts
 
-    def _list_told(self) -> list[tuple[str, dict[str, tuple[str, int]]]]:
-        now = self._now()
-        return [
-            (zone, hosts)
-            for zone, (at, hosts) in self._told.items()
-            if now - at < TOLD_S
-        ]
-
-    def list_other_zones(self) -> dict[str, dict[str, tuple[str, int]]]:
-        """Return the live routers of the other data centres, as leaders told."""
-        return dict(self._list_told())
-
     def list_zone_hosts(self) -> dict[str, tuple[str, int]]:
         """Return the live routers of this data centre but this one."""
         return {neighbour.host: neighbour.address for neighbour in self._list_live()}
--- a/bronzesail/router/peers.py
+++ b/bronzesail/router/peers.py
@@ -65,9 +65,8 @@
     is_leaving: bool = False
     is_in_step: bool = False
     directory: str = ""  # Names the state of the directory, to see when it changes.
-    hosts_by_zone: dict[
-        str, dict[str, str]
-    ] = {}  # What a leader tells, with addresses.
+    # What a leader tells of live routers: data centre to hosts with addresses.
+    hosts_by_zone: dict[str, dict[str, str]] = {}
 
 
 class Ask(msgspec.Struct, tag="ask"):
@@ -77,9 +76,8 @@
     account: str
     want: int
     least: int = 1
-    is_banked: bool = (
-        False  # Asked of the account's banker, which has the time to refill.
-    )
+    # Asked of the account's banker, which may refill before it answers.
+    is_banked: bool = False
 
 
 class Gift(msgspec.Struct, tag="gift"):
--- a/tests/test_router/test_whole_path.py
+++ b/tests/test_router/test_whole_path.py
@@ -45,6 +45,17 @@
     return test
 
 
+async def start_chat(router, counts):
+    """Send a streaming request on a connection of its own and leave it open."""
+    reader, writer = await asyncio.open_connection(router.ip, router.port)
+    writer.write(
+        f"POST /chat/1 HTTP/1.1\r\nHost: {HOST_NAME}\r\nX-Attempt-Id: r\r\n"
+        f"Authorization: Bearer {KEY}\r\nX-Token-Counts: {counts}\r\n"
+        "Content-Length: 0\r\n\r\n".encode()
+    )
+    return reader, writer
+
+
 @run_deployed
 async def test_answer_of_the_server_comes_back_unchanged(deployment, router):
     status, headers, body = await deployment.send(router, "/book/1", b"a ticket")
@@ -231,12 +242,7 @@
         await asyncio.sleep(3600)
 
     deployment.engine._behave = hang
-    reader, writer = await asyncio.open_connection(router.ip, router.port)
-    writer.write(
-        f"POST /chat/1 HTTP/1.1\r\nHost: {HOST_NAME}\r\nX-Attempt-Id: r\r\n"
-        f"Authorization: Bearer {KEY}\r\nX-Token-Counts: 10,9\r\n"
-        "Content-Length: 0\r\n\r\n".encode()
-    )
+    _, writer = await start_chat(router, "10,9")
     await wait_until(lambda: deployment.engine.requests)
     writer.close()
     holding = router.app.book.get_holding("acme")
@@ -294,12 +300,7 @@
             raise
 
     deployment.engine._behave = stream
-    reader, writer = await asyncio.open_connection(router.ip, router.port)
-    writer.write(
-        f"POST /chat/1 HTTP/1.1\r\nHost: {HOST_NAME}\r\nX-Attempt-Id: r\r\n"
-        f"Authorization: Bearer {KEY}\r\nX-Token-Counts: 10,9\r\n"
-        "Content-Length: 0\r\n\r\n".encode()
-    )
+    reader, writer = await start_chat(router, "10,9")
     await reader.readuntil(b"id: 3")
     writer.close()
     async with asyncio.timeout(30):
