router: resends after a 421 draw on the retry budget

Cause: a send answered 421 was taken back from the count of sends, because it must not count towards maxAttempts. The same count decided whether a resend is charged to the retry budget, so resends behind a 421 were free. Servers that restart under a new id at their address answer 421 until their new entry is read, for seconds where the store is away, and a probe that only connected declared the address reachable again every 0.7 s. Ruled out: restarts of routers (none in the window). Change: all sends count for the budget, those answered 421 do not count as attempts; a server whose address answered 421 is not used until its entry changes, and no probe brings it back. Why it works: the budget now sees what the service sees, each arrival beyond a request's first. Test: test_resends_after_421_stay_within_the_retry_limit failed before with 360 repeats where 17 are allowed.

--- a/bronzesail/router/directory.py
+++ b/bronzesail/router/directory.py
@@ -28,6 +28,7 @@
         self._now = now
         self._servers: dict[str, BackendServer] = {}
         self._lapsed: dict[str, float] = {}
+        self._replaced: set[str] = set()
         self._store_back_at = -1e9
         self.generation = 0
 
@@ -44,9 +45,21 @@
         if known is not None and known.born_ms > server.born_ms > 0:
             return False  # An entry from before the server's last start.
         self._servers[server.id] = server
+        self._replaced.discard(server.id)
         self.generation += 1
         return True
 
+    def note_replaced(self, server: BackendServer) -> bool:
+        """Take it that another server answers at an entry's address.
+
+        The entry is not used until its server writes a changed one. Returns whether
+        the entry was in use.
+        """
+        if self._servers.get(server.id) != server or server.id in self._replaced:
+            return False
+        self._replaced.add(server.id)
+        return True
+
     def remove(self, server_id: str) -> bool:
         """Take it that an entry is gone; tell whether the server is gone at once."""
         if server_id not in self._servers:
@@ -83,7 +96,9 @@
         return [
             server
             for server in self._servers.values()
-            if server.service == service and not server.is_draining
+            if server.service == service
+            and not server.is_draining
+            and server.id not in self._replaced
         ]
 
     def list_all(self) -> list[BackendServer]:
@@ -103,5 +118,6 @@
 
     def _forget(self, server_id: str) -> None:
         self._lapsed.pop(server_id, None)
+        self._replaced.discard(server_id)
         self._servers.pop(server_id, None)
         self.generation += 1
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -91,6 +91,7 @@
         self._work = Work()
         self._limit_at = request.arrived_at + 15.0
         self._sends = 0
+        self._misdirected = 0
         self._has_run = False
         self._fingerprint = ""
         self._reserved = 0
@@ -269,7 +270,7 @@
         assert configuration is not None and self._route is not None
         route = self._find_route(configuration)
         self._find_account(configuration)
-        if self._sends == 0 and route is not self._route:
+        if self._attempts == 0 and route is not self._route:
             if self._service not in [name for name, _ in route.services]:
                 self._route = route
                 self._choose_service(configuration)
@@ -336,6 +337,7 @@
         self._services.log.write(
             "request: sent",
             request=self._id,
+            send=self._sends,
             server=server.id,
             ending=outcome.ending.value,
             reason=outcome.reason,
@@ -370,7 +372,7 @@
     async def _wait_for_answer(self, server: BackendServer, relay: Relay) -> Outcome:
         assert self._route is not None
         limit_at = self._limit_at + TIMEOUT_MARGIN_S
-        may_go_on = self._may_repeat() and self._sends < self._route.max_attempts
+        may_go_on = self._may_repeat() and self._attempts < self._route.max_attempts
         try:
             if may_go_on:
                 wait_s = max(
@@ -473,7 +475,7 @@
         assert self._route is not None
         if self._has_run and not self._may_repeat():
             return False
-        if self._sends >= self._route.max_attempts:
+        if self._attempts >= self._route.max_attempts:
             return False
         return self._limit_at - self._loop.time() > MIN_LEFT_S
 
@@ -485,10 +487,8 @@
     def _note_not_run(self, server: BackendServer, outcome: Outcome) -> None:
         assert outcome.head is not None
         if outcome.head.status == 421:
-            # Another server has the address.
-            self._sends -= 1
-            self._services.pool.drop(server.address)
-            self._services.note_unreachable(server, "another server has the address")
+            self._misdirected += 1
+            self._services.note_replaced(server)
             return
         self._services.placement.note_told(server.id, server.slots, server.slots)
 
@@ -538,7 +538,7 @@
         """
         assert self._head is not None
         events = self._stream.events if self._stream else 0
-        has_left = self._sends > 0 and self._code == "caller gone"
+        has_left = self._attempts > 0 and self._code == "caller gone"
         if not events and self._code != "ok" and not has_left:
             return 0
         per_event = self._engine.tokens_per_event if self._engine else 0
@@ -546,6 +546,11 @@
             self._head.max_output_tokens, events * per_event
         )
 
+    @property
+    def _attempts(self) -> int:
+        """Servers that the request was sent to and that were the ones meant."""
+        return self._sends - self._misdirected
+
     @property
     def _id(self) -> str | None:
         return self._head.request_id if self._head else None
@@ -564,6 +569,7 @@
             token_wait_s=round(self._token_wait_s, 4),
             place_wait_s=round(self._place_wait_s, 4),
             sends=self._sends,
+            misdirected=self._misdirected,
             took_s=round(now - self._request.arrived_at, 4),
             events=self._stream.events if self._stream else None,
         )
--- a/bronzesail/router/services.py
+++ b/bronzesail/router/services.py
@@ -72,6 +72,12 @@
         self.pool.drop(server.address)
         self.log.write("server: unreachable", server=server.id, reason=reason)
 
+    def note_replaced(self, server: BackendServer) -> None:
+        """Use a server no more at whose address another one answered."""
+        self.pool.drop(server.address)
+        if self.directory.note_replaced(server):
+            self.log.write("directory: server replaced", server=server.id)
+
     def note_failure(self, server: BackendServer, reason: str) -> None:
         """Count a failed request against a server."""
         if self.placement.note_failure(server.id):
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -173,6 +173,7 @@
         self.id = server_id
         self.service = service
         self.requests = []
+        self.misdirected = []
         self._behave = behave
         self._server = HttpServer(self._answer)
 
@@ -182,6 +183,11 @@
     async def close(self):
         await self._server.close()
 
+    @property
+    def arrivals(self):
+        """Ids of all requests that arrived, run or not."""
+        return [r.find_header("x-attempt-id") for r in self.requests + self.misdirected]
+
     def make_entry(self, state="ready"):
         return {
             "service": self.service,
@@ -197,6 +203,7 @@
     async def _answer(self, request, responder):
         headers = [("X-Attempt-Id", request.find_header("x-attempt-id"))]
         if request.find_header("x-expect-instance") != self.id:
+            self.misdirected.append(request)
             await responder.start(421, (*headers, ("Content-Length", "0")))
             await responder.finish()
             return
@@ -311,7 +318,7 @@
         self.store.put("servers", server_id, backend.make_entry())
         return backend
 
-    async def start_router(self, name):
+    async def start_router(self, name, bounds=""):
         ip = f"127.0.0.{next(_ips) % 250 + 2}"
         internal = find_port(ip)
         settings = f"""
@@ -330,6 +337,7 @@
 memoryMb = 300
 [bounds]
 graceS = 8
+{bounds}
 [platform]
 address = "{self.address}"
 """
--- /dev/null
+++ b/tests/test_router/test_retry_limit.py
@@ -0,0 +1,50 @@
+"""Repeated sends of a service stay within the fleet's limit."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests.platform_standin import (
+    Deployment,
+    answer_plainly,
+    make_configuration,
+    wait_until,
+)
+
+RATIO = 0.2
+SLACK = 5
+N_REPLACED = 6
+N_REQUESTS = 60
+
+
+def count_repeats(backends):
+    """Return the arrivals beyond the first of each request."""
+    arrivals = [name for backend in backends for name in backend.arrivals]
+    return len(arrivals) - len(set(arrivals))
+
+
+# Servers that restarted under new ids while their old entries still stood.
+def test_resends_after_421_stay_within_the_retry_limit(tmp_path):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            deployment.store.put("op", "config", make_configuration())
+            await deployment.start_backend("p1", "app", answer_plainly)
+            for number in range(N_REPLACED):
+                backend = await deployment.start_backend(
+                    f"old-{number}", "app", answer_plainly
+                )
+                backend.id = f"new-{number}"
+            bounds = f"retryBudgetRatio = {RATIO}\nbudgetSlack = {SLACK}"
+            router = await deployment.start_router("h1", bounds)
+            await wait_until(router.app.is_ready)
+            answers = await asyncio.gather(
+                *(
+                    deployment.send(router, "/look/1", method="GET")
+                    for _ in range(N_REQUESTS)
+                )
+            )
+            assert {status for status, _, _ in answers} <= {200, 503}
+            repeats = count_repeats(deployment.backends)
+            assert repeats <= RATIO * N_REQUESTS + SLACK
+
+    asyncio.run(run())
--- a/tests/test_router/test_small_cores.py
+++ b/tests/test_router/test_small_cores.py
@@ -84,6 +84,26 @@
     assert directory.get("a").port == 2
 
 
+# A probe that only connects declared the address reachable, and 421s went on.
+def test_a_replaced_server_is_not_used_until_its_entry_changes(time):
+    directory = Directory(time)
+    for name in ("a", "b"):
+        directory.put(make_server(name))
+    assert directory.note_replaced(make_server("a"))
+    assert not directory.note_replaced(make_server("a"))
+    directory.put(make_server("a"))
+    assert list_ids(directory) == ["b"]
+    directory.put(make_server("a", port=81))
+    assert list_ids(directory) == ["a", "b"]
+
+
+def test_an_answer_of_an_old_address_says_nothing_of_the_new_one(time):
+    directory = Directory(time)
+    directory.put(make_server("a", port=81))
+    assert not directory.note_replaced(make_server("a", port=80))
+    assert list_ids(directory) == ["a"]
+
+
 def test_the_local_server_goes_first_until_it_is_loaded(placement):
     servers = [make_server("near"), make_server("far", "z3")]
     assert placement.choose(servers, Work(), ENGINE).id == "near"
