router: a restarted process spends no slack of the retry budget in its first window

Cause: each process began with a whole share of the slack although its predecessor on the host may have spent it in the same window, and a process that had read no rows counted itself as the only router and took all of the slack. Evidence: the test below, 63 repeats where 45 are allowed after three starts; 6 hosts that restart within a window may spend 1.2 times the slack. Change: the slack's share counts from one window after the start, at once only on the fleet's first start, and only once the routers' rows have been read. Why it works: a host's repeats in any window are bounded by the ratio of its own requests and one share, whoever spent it. Test: test_restarts_within_a_window_stay_within_the_retry_limit failed before with 63 repeats where 45 are allowed.

--- a/bronzesail/model/_types.py
+++ b/bronzesail/model/_types.py
@@ -202,6 +202,7 @@
     store: StoreSettings
     memory_bytes: int
     link_mbps: float
+    is_first_start: bool
 
     @property
     def region(self) -> str:
--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -157,6 +157,7 @@
         self.pool = ClientPool(loop)
         self.services = Services(
             loop=loop,
+            started_at=loop.time(),
             log=self.log,
             metrics=Metrics(),
             settings=settings,
--- a/bronzesail/router/budget_keeper.py
+++ b/bronzesail/router/budget_keeper.py
@@ -190,6 +190,7 @@
                 continue
             holders[row.key] = (holder, row.version)
             self._on_holder(holder)
+        self._neighbourhood.note_rows_read()
         self.host_count = max(1, len({holder.host for holder, _ in holders.values()}))
         self.sharer_count = self.host_count
         if self._neighbourhood.is_large:
--- a/bronzesail/router/neighbourhood.py
+++ b/bronzesail/router/neighbourhood.py
@@ -82,6 +82,7 @@
         self._region_by_zone = region_by_zone or {}
         self._told: dict[str, tuple[float, dict[str, tuple[str, int]]]] = {}
         self._suspected_until: dict[str, float] = {}
+        self.has_read_rows = False
 
     @property
     def is_large(self) -> bool:
@@ -92,6 +93,10 @@
         """Return how many routers are known, this one included."""
         return len(self._known) + 1
 
+    def note_rows_read(self) -> None:
+        """Take it that all routers' rows have been read since the start."""
+        self.has_read_rows = True
+
     def note_row(
         self, host: str, zone: str, address: tuple[str, int], link_mbps: float
     ) -> None:
--- a/bronzesail/router/retry_budget.py
+++ b/bronzesail/router/retry_budget.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -23,11 +24,20 @@
         Seconds on a steady clock.
     window_s : float
         Length of the window.
+    slack_from : float
+        When the router's share of the slack may first be spent. The process before
+        this one may have spent it in a window that has not ended yet.
     """
 
-    def __init__(self, now: Callable[[], float], window_s: float) -> None:
+    def __init__(
+        self,
+        now: Callable[[], float],
+        window_s: float,
+        slack_from: float = -math.inf,
+    ) -> None:
         self._now = now
         self._window_s = window_s
+        self._slack_from = slack_from
         self._requests: deque[float] = deque()
         self._repeats: deque[float] = deque()
 
@@ -35,14 +45,18 @@
         """Count a request's first send."""
         self._requests.append(self._now())
 
-    def take(self, ratio: float, slack: float, hosts: int) -> bool:
-        """Count a repeat if there is room for it; tell whether there was."""
+    def take(self, ratio: float, slack: float, hosts: int | None) -> bool:
+        """Count a repeat if there is room for it; tell whether there was.
+
+        Without the number of `hosts` that share it, none of the slack is spent.
+        """
         now = self._now()
         for times in (self._requests, self._repeats):
             while times and now - times[0] > self._window_s:
                 times.popleft()
         room = ratio * RATIO_SHARE * len(self._requests)
-        room += slack * SLACK_SHARE / max(hosts, 1)
+        if hosts is not None and now >= self._slack_from:
+            room += slack * SLACK_SHARE / max(hosts, 1)
         if len(self._repeats) + 1 > room:
             return False
         self._repeats.append(now)
--- a/bronzesail/router/services.py
+++ b/bronzesail/router/services.py
@@ -36,6 +36,7 @@
     """The parts that answer requests, wired by the composition root."""
 
     loop: asyncio.AbstractEventLoop
+    started_at: float  # On the loop's clock.
     log: Log
     metrics: Metrics
     settings: HostSettings
@@ -57,13 +58,18 @@
         budget = self._retry_budgets.get(service)
         if budget is None:
             window_s = self.settings.bounds.retry_window_s
+            slack_from = self.started_at + window_s
+            if self.settings.is_first_start:
+                slack_from = self.started_at
             budget = self._retry_budgets[service] = RetryBudget(
-                self.loop.time, window_s
+                self.loop.time, window_s, slack_from
             )
         return budget
 
-    def count_hosts(self) -> int:
-        """Return how many routers share the fleet's limits."""
+    def count_hosts(self) -> int | None:
+        """Return how many routers share the fleet's limits, None while unknown."""
+        if not self.neighbourhood.has_read_rows:
+            return None
         return self.neighbourhood.count_hosts()
 
     def note_unreachable(self, server: BackendServer, reason: str) -> None:
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -318,7 +318,7 @@
         self.store.put("servers", server_id, backend.make_entry())
         return backend
 
-    async def start_router(self, name, bounds=""):
+    async def start_router(self, name, bounds="", bootstrap=True):
         ip = f"127.0.0.{next(_ips) % 250 + 2}"
         internal = find_port(ip)
         settings = f"""
@@ -326,6 +326,7 @@
 ip = "{ip}"
 zone = "z1"
 region = "r1"
+bootstrap = {str(bootstrap).lower()}
 internalPorts = [{internal}, {internal}]
 seeds = []
 [zones]
--- a/tests/test_router/test_retry_limit.py
+++ b/tests/test_router/test_retry_limit.py
@@ -48,3 +48,31 @@
             assert repeats <= RATIO * N_REQUESTS + SLACK
 
     asyncio.run(run())
+
+
+async def answer_with_failure(request, responder, headers):
+    """Answer 500."""
+    await responder.start(500, (*headers, ("Content-Length", "0")))
+    await responder.finish()
+
+
+# Each restarted process began with a whole share of the fleet's slack.
+def test_restarts_within_a_window_stay_within_the_retry_limit(tmp_path):
+    slack, n_starts, n_requests = 30, 3, 25
+
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            deployment.store.put("op", "config", make_configuration())
+            for name in ("p1", "p2"):
+                await deployment.start_backend(name, "app", answer_with_failure)
+            bounds = f"retryBudgetRatio = {RATIO}\nbudgetSlack = {slack}"
+            for _ in range(n_starts):
+                router = await deployment.start_router("h1", bounds, bootstrap=False)
+                await wait_until(router.app.is_ready)
+                for _ in range(n_requests):
+                    await deployment.send(router, "/look/1", method="GET")
+                router.app.abort()
+            repeats = count_repeats(deployment.backends)
+            assert repeats <= RATIO * n_starts * n_requests + slack
+
+    asyncio.run(run())
--- a/tests/test_router/test_small_cores.py
+++ b/tests/test_router/test_small_cores.py
@@ -197,6 +197,12 @@
     assert budget.take(0.2, 52.0, 6)
 
 
+def test_no_slack_is_spent_while_the_number_of_routers_is_unknown(time):
+    budget = RetryBudget(time, 10.0)
+    assert not budget.take(0.2, 52.0, None)
+    assert budget.take(0.2, 52.0, 6)
+
+
 def test_crashes_count_at_all_routers(time):
     first, second = PoisonList(time), PoisonList(time)
     key = make_fingerprint(b"/a", "acme", b"body")
