router: reads of the store and fetches from peers are logged with bytes and time

Whether reads end, how long they and the fetches from peers take, how much they carry, and who relies on whom could not be seen. Change: store: table read, store: call failed, peers: fetched, peers: guide changed; peers: no answer and config: in force tell path, time and bytes. No decision changes.

--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -99,6 +99,7 @@
         self._servers: list[asyncio.Server] = []
         self._fetching: asyncio.Task[None] | None = None
         self._directory_seen = ""
+        self._guide: str | None = None
         self._suspected: dict[str, float] = {}
         self._wire()
 
@@ -294,6 +295,11 @@
             and len(self.directory) > 0
         )
 
+    @property
+    def is_following_store(self) -> bool:
+        """Whether this router itself hears the store's changes."""
+        return self._configuration_watch.is_in_step and self._server_watch.is_in_step
+
     def _answer_ready(self, path: str) -> tuple[int, bytes]:
         return (200, b"ready") if self.is_ready() else (503, b"not ready")
 
@@ -348,7 +354,12 @@
         )
 
     def _is_guided(self) -> bool:
-        return self.neighbourhood.find_guide() is not None
+        guide = self.neighbourhood.find_guide()
+        host = None if guide is None else guide.host
+        if host != self._guide:
+            self.log.write("peers: guide changed", guide=host, before=self._guide)
+            self._guide = host
+        return guide is not None
 
     def _make_hello(self) -> Hello:
         free = {
@@ -366,8 +377,7 @@
             zone=self.settings.zone,
             link_mbps=self.settings.link_mbps,
             is_leaving=self.is_draining,
-            is_in_step=self._configuration_watch.is_in_step
-            and self._server_watch.is_in_step,
+            is_in_step=self.is_following_store,
             directory=f"{self.incarnation}.{self.directory.generation}",
         )
 
@@ -411,6 +421,7 @@
 
     async def _fetch(self, peer: Peer, path: str) -> bytes | None:
         request = b"GET %b HTTP/1.1\r\nHost: router\r\n\r\n" % path.encode()
+        started_at = self._loop.time()
         try:
             connection = self.pool.take(peer.address)
             connection = connection or await self.pool.open(peer.address)
@@ -423,9 +434,22 @@
             head, body = await call.wait(PEER_CALL_S)
         except OSError as error:
             connection.close()
-            self.log.write("peers: no answer", peer=peer.hello.host, error=repr(error))
+            self.log.write(
+                "peers: no answer",
+                peer=peer.hello.host,
+                path=path,
+                error=repr(error),
+                took_s=round(self._loop.time() - started_at, 3),
+            )
             return None
         self.pool.give_back(connection)
+        self.log.write(
+            "peers: fetched",
+            peer=peer.hello.host,
+            path=path,
+            bytes=len(body),
+            took_s=round(self._loop.time() - started_at, 3),
+        )
         return body if head.status == 200 else None
 
     # Regular work.
--- a/bronzesail/router/watches.py
+++ b/bronzesail/router/watches.py
@@ -66,6 +66,7 @@
             version=configuration.version,
             before=self.version,
             source=source,
+            bytes=len(body),
         )
         self.current = configuration
         self._on_change(configuration)
@@ -97,13 +98,23 @@
                 await asyncio.sleep(GUIDED_S)
                 continue
             try:
+                started_at = loop.time()
                 answer = await self._store.read_table(self.table)
                 read_at = loop.time()
+                self._log.write(
+                    "store: table read",
+                    table=self.table,
+                    version=answer.version,
+                    rows=len(answer.rows),
+                    bytes=sum(len(row.value) for row in answer.rows),
+                    took_s=round(read_at - started_at, 3),
+                )
                 self._note_step(True, "read")
                 self._take_all(answer.rows)
                 self.has_loaded = True
                 version = answer.version
                 while loop.time() - read_at < READ_AGAIN_S and not self._is_guided():
+                    started_at = loop.time()
                     change = await self._store.watch(self.table, version, self.wait_s)
                     self._take_changes(change.rows)
                     version = max(version, change.version)
@@ -112,6 +123,12 @@
             except HistoryLostError:
                 self._log.write("store: history lost", table=self.table)
             except StoreError as error:
+                self._log.write(
+                    "store: call failed",
+                    table=self.table,
+                    reason=str(error),
+                    took_s=round(loop.time() - started_at, 3),
+                )
                 self._note_step(False, str(error))
                 await asyncio.sleep(RETRY_S)
 
