directory: a list of servers from another router is taken only if it is as new as what is known

Callers saw: requests went to servers that had left 4 to 5.5 s before (DRAIN), taken by hosts that had known of the leaving. Cause: a router that guides its data centre hands its list of servers on. The list carried no version, so whichever arrived last replaced what the reader knew. A router back from a cut of its own keeps the servers that its read no longer lists for 2 s, since they may have lapsed with the store, and became the guide again at once: the others took those servers back. Ruled out: a late removal (the host itself logged it 0.1 s after the acknowledgement). Change: the directory knows the store's version that it is complete up to; a list tells its own and is not taken if it is older. Servers that may have lapsed are listed apart: a reader that has them keeps them for the time left, no reader takes them up. Why it works: of two states of one table the one with the higher version of the store wins, whoever tells it and when. Class: state taken over in the order of arrival. Configurations and budget rows already compare versions; poison counts only grow. Test: test_a_returning_router_brings_no_removed_server_back_at_others failed before ('p2' back in the list); two unit tests of the directory.

--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -11,7 +11,7 @@
 import msgspec
 import uvloop
 
-from ..model import BackendServer, Limits
+from ..model import Limits
 from ..platform import SETTINGS_PATH_VARIABLE, decode_settings
 from .budget import BudgetBook, HolderRow
 from .budget_desk import BudgetDesk
@@ -19,7 +19,7 @@
 from .caller import CallerConnection, CallerRequest
 from .client import Call, ClientPool, ConnectError
 from .clocks import read_clock
-from .directory import Directory
+from .directory import Directory, Listing
 from .exchange import Exchange
 from .inner import (
     CONFIGURATION_PATH,
@@ -311,7 +311,7 @@
         if path == CONFIGURATION_PATH and current is not None:
             return 200, current.encoded
         if path == DIRECTORY_PATH:
-            return 200, msgspec.json.encode(self.directory.list_all())
+            return 200, msgspec.json.encode(self.directory.make_listing())
         return 404, b""
 
     def _set_gauges(self) -> None:
@@ -378,6 +378,7 @@
             link_mbps=self.settings.link_mbps,
             is_leaving=self.is_draining,
             is_in_step=self.is_following_store,
+            directory_store_version=self.directory.store_version,
             directory=f"{self.incarnation}.{self.directory.generation}",
         )
 
@@ -394,7 +395,9 @@
         guide = self.neighbourhood.find_guide()
         if guide is None or guide.host != hello.host:
             self._directory_seen = ""
-        elif hello.directory != self._directory_seen:
+        elif hello.directory == self._directory_seen:
+            self.directory.note_version(hello.directory_store_version)
+        elif hello.directory_store_version >= self.directory.store_version:
             self._fetching = self._loop.create_task(self._fetch_directory(peer))
 
     async def _fetch_configuration(self, peer: Peer) -> None:
@@ -410,12 +413,21 @@
         if body is None:
             return
         try:
-            servers = msgspec.json.decode(body, type=list[BackendServer])
+            listing = msgspec.json.decode(body, type=Listing)
         except msgspec.DecodeError as error:
             self.log.write("peers: answer unreadable", error=str(error))
             return
+        gone = self.directory.adopt(listing)
+        if gone is None:
+            self.log.write(
+                "directory: list of a peer is older",
+                peer=peer.hello.host,
+                its=listing.store_version,
+                own=self.directory.store_version,
+            )
+            return
         self._directory_seen = seen
-        for server_id in self.directory.replace(servers):
+        for server_id in gone:
             self.log.write("directory: server gone", server=server_id)
         self._take_servers()
 
--- a/bronzesail/router/directory.py
+++ b/bronzesail/router/directory.py
@@ -4,17 +4,39 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
+
+from ..model import BackendServer
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from ..model import BackendServer
-
-__all__ = ["Directory"]
+__all__ = ["Directory", "Listing"]
 
 RETURN_S = 2.0  # Entries that lapsed with the store are back within 2 s of its return.
 OUTAGE_MEMORY_S = 2.0  # After the store's return, a removal may be such a lapse.
 
 
+@attrs.frozen(kw_only=True)
+class Listing:
+    """A router's directory, for another router.
+
+    Attributes
+    ----------
+    store_version : int
+        The store's version that it is complete up to.
+    servers : list of BackendServer
+        The servers that have an entry.
+    lapsed : dict
+        Seconds left to servers whose entries may have lapsed with the store. They are
+        no reason to take up a server that the reader does not have.
+    """
+
+    store_version: int
+    servers: list[BackendServer]
+    lapsed: dict[str, float]
+
+
 class Directory:
     """The usable servers, each with a grace after an outage of the store.
 
@@ -31,6 +53,41 @@
         self._replaced: set[str] = set()
         self._store_back_at = -1e9
         self.generation = 0
+        self.store_version = 0  # Of the store; the directory is complete up to it.
+
+    def note_version(self, store_version: int) -> None:
+        """Take it that the directory is complete up to a version of the store."""
+        self.store_version = max(self.store_version, store_version)
+
+    def make_listing(self) -> Listing:
+        """Return the directory for another router."""
+        now = self._now()
+        return Listing(
+            store_version=self.store_version,
+            servers=[s for s in self._servers.values() if s.id not in self._lapsed],
+            lapsed={key: until - now for key, until in self._lapsed.items()},
+        )
+
+    def adopt(self, listing: Listing) -> list[str] | None:
+        """Take another router's directory and return the ids of servers that are gone.
+
+        Returns None where the listing is older than what is known: it is not taken.
+        """
+        if listing.store_version < self.store_version:
+            return None
+        listed = {server.id for server in listing.servers}
+        for server in listing.servers:
+            self.put(server)
+        gone = []
+        for key in [key for key in self._servers if key not in listed]:
+            if key in listing.lapsed:
+                until = self._now() + listing.lapsed[key]
+                self._lapsed.setdefault(key, until)
+                continue
+            self._forget(key)
+            gone.append(key)
+        self.note_version(listing.store_version)
+        return gone
 
     def note_store_back(self) -> None:
         """Take it that the store has just come back after an outage."""
@@ -101,10 +158,6 @@
             and server.id not in self._replaced
         ]
 
-    def list_all(self) -> list[BackendServer]:
-        """Return all servers."""
-        return list(self._servers.values())
-
     def list_ids(self) -> list[str]:
         """Return the ids of all servers."""
         return list(self._servers)
--- a/bronzesail/router/peers.py
+++ b/bronzesail/router/peers.py
@@ -64,6 +64,7 @@
     link_mbps: float = 0.0
     is_leaving: bool = False
     is_in_step: bool = False
+    directory_store_version: int = 0  # The store's; the directory is complete up to it.
     directory: str = ""  # Names the state of the directory, to see when it changes.
     # What a leader tells of live routers: data centre to hosts with addresses.
     hosts_by_zone: dict[str, dict[str, str]] = {}
--- a/bronzesail/router/watches.py
+++ b/bronzesail/router/watches.py
@@ -111,12 +111,14 @@
                 )
                 self._note_step(True, "read")
                 self._take_all(answer.rows)
+                self._note_version(answer.version)
                 self.has_loaded = True
                 version = answer.version
                 while loop.time() - read_at < READ_AGAIN_S and not self._is_guided():
                     started_at = loop.time()
                     change = await self._store.watch(self.table, version, self.wait_s)
                     self._take_changes(change.rows)
+                    self._note_version(change.version)
                     version = max(version, change.version)
                     if change.rows and self.gap_s:
                         await asyncio.sleep(self.gap_s)
@@ -144,6 +146,9 @@
     def _note_return(self) -> None:
         """Do what a return of the store asks for."""
 
+    def _note_version(self, store_version: int) -> None:
+        """Take it that all changes up to a version of the store are known."""
+
     def _take_all(self, rows: list[Row]) -> None:
         raise NotImplementedError
 
@@ -198,6 +203,9 @@
     def _note_return(self) -> None:
         self._directory.note_store_back()
 
+    def _note_version(self, store_version: int) -> None:
+        self._directory.note_version(store_version)
+
     def _take_all(self, rows: list[Row]) -> None:
         servers = [s for s in self._decode(rows) if s is not None]
         for server_id in self._directory.replace(servers):
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -17,6 +17,7 @@
 from bronzesail.http import HttpServer, send_json
 from bronzesail.router.application import Application
 from bronzesail.router.clocks import read_clock
+from bronzesail.standin import LinkPath, LinkStandin
 
 HOST_NAME = "api.example"
 KEY = "key-of-acme"
@@ -310,6 +311,7 @@
         self.store = StoreStandin()
         self.backends = []
         self.routers = []
+        self.links = []
 
     async def start_backend(self, server_id, service, behave):
         backend = BackendStandin(server_id, service, behave)
@@ -318,7 +320,30 @@
         self.store.put("servers", server_id, backend.make_entry())
         return backend
 
-    async def start_router(self, name, bounds="", bootstrap=True):
+    async def open_store_link(self, path=None):
+        """Return a link of one router to the store; `path` carries its answers."""
+        link = LinkStandin(self.address, LinkPath(0.0, 0.0), path or LinkPath(0.0, 0.0))
+        await link.start()
+        self.links.append(link)
+        return link
+
+    def add_rows_of_other_hosts(self, count):
+        """Make the fleet a large one: rows of routers in another data centre."""
+        for number in range(count):
+            row = {
+                "host": f"other-{number}",
+                "address": f"127.0.0.1:{find_port('127.0.0.1')}",
+                "started_s": 0.0,
+                "stamp_s": 0.0,
+                "sequence": 1,
+                "held": {},
+                "zone": "z2",
+            }
+            self.store.put("holders", f"other-{number}.0", row, "budget")
+
+    async def start_router(
+        self, name, bounds="", bootstrap=True, store=None, link_mbps=1000
+    ):
         ip = f"127.0.0.{next(_ips) % 250 + 2}"
         internal = find_port(ip)
         settings = f"""
@@ -336,11 +361,12 @@
 ready = "{ip}:{find_port(ip)}"
 [limits]
 memoryMb = 300
+linkMbps = {link_mbps}
 [bounds]
 graceS = 8
 {bounds}
 [platform]
-address = "{self.address}"
+address = "{store or self.address}"
 """
         path = self._folder / f"{name}.toml"
         path.write_text(settings)
@@ -362,6 +388,8 @@
             await asyncio.gather(router.task, return_exceptions=True)
         for backend in self.backends:
             await backend.close()
+        for link in self.links:
+            await link.stop()
         await self.store.close()
 
     async def send(self, router, path, body=b"", method="POST", key=KEY, **headers):
--- /dev/null
+++ b/tests/test_router/test_large_fleet.py
@@ -0,0 +1,67 @@
+"""News of the store in a large fleet, where routers work for each other."""
+
+from __future__ import annotations
+
+import asyncio
+
+from bronzesail.router.neighbourhood import SMALL_FLEET
+from tests.platform_standin import (
+    Deployment,
+    answer_plainly,
+    make_configuration,
+    wait_until,
+)
+
+WATCHED_S = 1.5  # Three hellos; what a router says is taken over within one.
+
+
+def run_in_large_fleet(tmp_path, scenario):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            deployment.add_rows_of_other_hosts(SMALL_FLEET)
+            deployment.store.put("op", "config", make_configuration())
+            for name in ("p1", "p2"):
+                await deployment.start_backend(name, "app", answer_plainly)
+            await scenario(deployment)
+
+    asyncio.run(run())
+
+
+async def start_routers(deployment, paths, store_path=None):
+    """Start routers of one data centre, the first with the widest link."""
+    routers, links = [], []
+    for number in range(paths):
+        link = await deployment.open_store_link(store_path)
+        router = await deployment.start_router(
+            f"h{number}", store=link.address, link_mbps=1000 - number
+        )
+        routers.append(router)
+        links.append(link)
+    await wait_until(lambda: all(router.app.is_ready() for router in routers))
+    await wait_until(
+        lambda: all(
+            len(router.app.neighbourhood.list_zone_hosts()) == paths - 1
+            and router.app.neighbourhood.is_large
+            for router in routers
+        )
+    )
+    return routers, links
+
+
+# A router back from a cut of its own passed its old list of servers on.
+def test_a_returning_router_brings_no_removed_server_back_at_others(tmp_path):
+    async def scenario(deployment):
+        (first, second), (link, _) = await start_routers(deployment, 2)
+        link.is_cut = True
+        await wait_until(lambda: not first.app.is_following_store)
+        deployment.store.remove("servers", "p2")
+        await wait_until(lambda: second.app.directory.list_ids() == ["p1"])
+        link.is_cut = False
+        await wait_until(lambda: first.app.is_following_store)
+        loop = asyncio.get_running_loop()
+        until = loop.time() + WATCHED_S
+        while loop.time() < until:
+            assert second.app.directory.list_ids() == ["p1"]
+            await asyncio.sleep(0.01)
+
+    run_in_large_fleet(tmp_path, scenario)
--- a/tests/test_router/test_small_cores.py
+++ b/tests/test_router/test_small_cores.py
@@ -84,6 +84,39 @@
     assert directory.get("a").port == 2
 
 
+def test_a_list_older_than_what_is_known_is_not_taken(time):
+    first, second = Directory(time), Directory(time)
+    for directory in (first, second):
+        directory.put(make_server("a"))
+        directory.put(make_server("b"))
+        directory.note_version(10)
+    second.remove("b")
+    second.note_version(11)
+    assert second.adopt(first.make_listing()) is None
+    assert list_ids(second) == ["a"]
+    first.note_version(12)
+    assert second.adopt(first.make_listing()) == []
+    assert list_ids(second) == ["a", "b"]
+
+
+# A router that kept lapsed servers for a while made others take them back.
+def test_a_lapsed_server_is_kept_where_it_is_known_and_taken_up_nowhere(time):
+    teller, keeping, without = Directory(time), Directory(time), Directory(time)
+    for directory in (teller, keeping):
+        directory.put(make_server("a"))
+        directory.put(make_server("b"))
+    without.put(make_server("a"))
+    teller.note_store_back()
+    teller.remove("b")
+    listing = teller.make_listing()
+    assert keeping.adopt(listing) == []
+    assert without.adopt(listing) == []
+    assert list_ids(keeping) == ["a", "b"]
+    assert list_ids(without) == ["a"]
+    time.now += RETURN_S + 0.1
+    assert keeping.expire() == ["b"]
+
+
 # A probe that only connects declared the address reachable, and 421s went on.
 def test_a_replaced_server_is_not_used_until_its_entry_changes(time):
     directory = Directory(time)
