--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -6,10 +6,8 @@
 import os
 import random
 import signal
-import zlib
 from typing import TYPE_CHECKING
 
-import msgspec
 import uvloop
 
 from ..model import Limits
@@ -18,20 +16,15 @@
 from .budget_desk import BudgetDesk
 from .budget_keeper import BudgetKeeper
 from .caller import CallerConnection, CallerRequest
-from .client import Call, ClientPool, ConnectError
+from .client import ClientPool, ConnectError
 from .clocks import read_clock
-from .directory import Directory, Listing
+from .directory import Directory
 from .exchange import Exchange
-from .inner import (
-    CONFIGURATION_PATH,
-    DIRECTORY_PATH,
-    METRICS_PATH,
-    PACKED_CONFIGURATION_PATH,
-    start_inner_server,
-)
+from .inner import METRICS_PATH, start_inner_server
 from .log import Log
 from .metrics import Metrics
 from .neighbourhood import Neighbourhood
+from .news import News
 from .peers import Hello, Peer, Peers, split_address
 from .placement import Placement
 from .poison import PoisonList
@@ -41,8 +34,6 @@
 from .watches import ConfigurationKeeper, ConfigurationWatch, ServerWatch
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
-
     from ..errors import Refusal
     from ..model import Configuration
 
@@ -56,8 +47,6 @@
 EXIT_MARGIN_S = 1.2  # For gifts and a call to the store, before the process is killed.
 HOLDINGS_S = 2.0  # Holdings change within seconds; a line is 500 bytes.
 RETURN_S = 0.5  # A call across regions.
-PEER_CALL_S = 1.0  # Until an answer begins; 60 ms across regions, on a full link.
-PACK_LEVEL = 1  # A sixteenth of the bytes of like routes, in 1.4 ms for 300 KB.
 HOLDERS_S = 3.0  # Between looks at the rows of the other processes.
 MISSED_HELLO_S = 0.9  # Two of a peer's hellos.
 SHARED_METRICS_PORT = 9464  # The port that deploy/system.toml names.
@@ -102,9 +91,6 @@
         self._callers: set[CallerConnection] = set()
         self._exchanges: set[asyncio.Task[None]] = set()
         self._servers: list[asyncio.Server] = []
-        self._fetching: dict[str, asyncio.Task[None]] = {}
-        self._packed: tuple[int, bytes] = (0, b"")
-        self._directory_seen = ""
         self._guide: str | None = None
         self._suspected: dict[str, float] = {}
         self._wire()
@@ -179,6 +165,17 @@
             desk=self.desk,
             neighbourhood=self.neighbourhood,
         )
+        self.news = News(
+            loop,
+            self.log,
+            self.pool,
+            settings,
+            self.configuration,
+            self.directory,
+            self.neighbourhood,
+            lambda: self.is_following_store,
+            self._take_servers,
+        )
         self._server_watch = ServerWatch(
             self.store,
             self.log,
@@ -322,17 +319,7 @@
         if path == METRICS_PATH:
             self._set_gauges()
             return 200, self.services.metrics.render()
-        current = self.configuration.current
-        if path == CONFIGURATION_PATH and current is not None:
-            return 200, current.encoded
-        if path == PACKED_CONFIGURATION_PATH and current is not None:
-            if self._packed[0] != current.version:
-                packed = zlib.compress(current.encoded, PACK_LEVEL)
-                self._packed = (current.version, packed)
-            return 200, self._packed[1]
-        if path == DIRECTORY_PATH:
-            return 200, msgspec.json.encode(self.directory.make_listing())
-        return 404, b""
+        return self.news.answer(path)
 
     def _set_gauges(self) -> None:
         set_state = self.services.metrics.set_state
@@ -415,113 +402,7 @@
         for host, counts in hello.suspects.items():
             if host != self.settings.host:
                 self.poison.take_others(host, counts)
-        self._compare_configuration(peer)
-        self._compare_directory(peer)
-
-    def _compare_configuration(self, peer: Peer) -> None:
-        hello = peer.hello
-        if hello.config_version == self.configuration.version:
-            self.configuration.note_version(hello.config_store_version)
-        if hello.config_version <= self.configuration.version:
-            return
-        region = self.settings.region_by_zone.get(hello.zone)
-        if self.is_following_store and region != self.settings.region:
-            return  # The own feed brings it over the same links.
-        self._start_fetch(PACKED_CONFIGURATION_PATH, self._fetch_configuration, peer)
-
-    def _compare_directory(self, peer: Peer) -> None:
-        hello = peer.hello
-        if self.is_following_store:
-            self._directory_seen = ""
-            return
-        guide = self.neighbourhood.find_guide()
-        if guide is None or guide.host != hello.host:
-            return
-        if hello.directory == self._directory_seen:
-            self.directory.note_version(hello.directory_store_version)
-        elif hello.directory_store_version >= self.directory.store_version:
-            self._start_fetch(DIRECTORY_PATH, self._fetch_directory, peer)
-
-    def _start_fetch(
-        self,
-        path: str,
-        fetch: Callable[[Peer], Coroutine[None, None, None]],
-        peer: Peer,
-    ) -> None:
-        """Fetch from a peer, unless a fetch of the same kind is in progress."""
-        running = self._fetching.get(path)
-        if running is None or running.done():
-            self._fetching[path] = self._loop.create_task(fetch(peer))
-
-    async def _fetch_configuration(self, peer: Peer) -> None:
-        """Take a newer configuration from a peer."""
-        body = await self._fetch(peer, PACKED_CONFIGURATION_PATH)
-        if body is None:
-            return
-        try:
-            encoded = zlib.decompress(body)
-        except zlib.error as error:
-            self.log.write("peers: answer unreadable", error=str(error))
-            return
-        self.configuration.offer(encoded, peer.hello.host)
-
-    async def _fetch_directory(self, peer: Peer) -> None:
-        """Take the directory of the router that follows the store for this one."""
-        seen = peer.hello.directory
-        body = await self._fetch(peer, DIRECTORY_PATH)
-        if body is None:
-            return
-        try:
-            listing = msgspec.json.decode(body, type=Listing)
-        except msgspec.DecodeError as error:
-            self.log.write("peers: answer unreadable", error=str(error))
-            return
-        gone = self.directory.adopt(listing)
-        if gone is None:
-            self.log.write(
-                "directory: list of a peer is older",
-                peer=peer.hello.host,
-                its=listing.store_version,
-                own=self.directory.store_version,
-            )
-            return
-        self._directory_seen = seen
-        for server_id in gone:
-            self.log.write("directory: server gone", server=server_id)
-        self._take_servers()
-
-    async def _fetch(self, peer: Peer, path: str) -> bytes | None:
-        request = b"GET %b HTTP/1.1\r\nHost: router\r\n\r\n" % path.encode()
-        started_at = self._loop.time()
-        try:
-            connection = self.pool.take(peer.address)
-            connection = connection or await self.pool.open(peer.address)
-        except ConnectError as error:
-            self.log.write("peers: unreachable", peer=peer.hello.host, error=str(error))
-            return None
-        call = Call(self._loop)
-        connection.start(request, call)
-        try:
-            head, body = await call.wait(PEER_CALL_S)
-        except OSError as error:
-            connection.close()
-            self.log.write(
-                "peers: no answer",
-                peer=peer.hello.host,
-                path=path,
-                error=repr(error),
-                took_s=round(self._loop.time() - started_at, 3),
-            )
-            return None
-        self.pool.give_back(connection)
-        self.log.write(
-            "peers: fetched",
-            peer=peer.hello.host,
-            path=path,
-            bytes=len(body),
-            took_s=round(self._loop.time() - started_at, 3),
-        )
-        return body if head.status == 200 else None
+        self.news.compare(peer)
 
     # Regular work.
 
--- /dev/null
+++ b/bronzesail/router/news.py
@@ -0,0 +1,206 @@
+"""Takes from other routers what this one lacks, and hands them what it knows."""
+
+from __future__ import annotations
+
+import zlib
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from .client import Call, ConnectError
+from .directory import Listing
+from .inner import CONFIGURATION_PATH, DIRECTORY_PATH, PACKED_CONFIGURATION_PATH
+
+if TYPE_CHECKING:
+    import asyncio
+    from collections.abc import Callable, Coroutine
+
+    from ..model import HostSettings
+    from .client import ClientPool
+    from .directory import Directory
+    from .log import Log
+    from .neighbourhood import Neighbourhood
+    from .peers import Peer
+    from .watches import ConfigurationKeeper
+
+__all__ = ["News"]
+
+PEER_CALL_S = 1.0  # Until an answer begins; 60 ms across regions, on a full link.
+PACK_LEVEL = 1  # A sixteenth of the bytes of like routes, in 1.4 ms for 300 KB.
+
+
+class News:
+    """Configuration and directory, exchanged with other routers.
+
+    Parameters
+    ----------
+    loop : asyncio.AbstractEventLoop
+        The loop to run on.
+    log : Log
+        Where decisions are written.
+    pool : ClientPool
+        Connections to the other routers.
+    settings : HostSettings
+        Tells where this host stands.
+    configuration : ConfigurationKeeper
+        The configuration in force.
+    directory : Directory
+        The backend servers.
+    neighbourhood : Neighbourhood
+        Says who follows the store for this router.
+    is_following_store : callable
+        Whether this router itself hears the store's changes.
+    on_servers : callable
+        Called after the directory was taken over.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        log: Log,
+        pool: ClientPool,
+        settings: HostSettings,
+        configuration: ConfigurationKeeper,
+        directory: Directory,
+        neighbourhood: Neighbourhood,
+        is_following_store: Callable[[], bool],
+        on_servers: Callable[[], None],
+    ) -> None:
+        self._loop = loop
+        self._log = log
+        self._pool = pool
+        self._settings = settings
+        self._configuration = configuration
+        self._directory = directory
+        self._neighbourhood = neighbourhood
+        self._is_following_store = is_following_store
+        self._on_servers = on_servers
+        self._fetching: dict[str, asyncio.Task[None]] = {}
+        self._packed: tuple[int, bytes] = (0, b"")
+        self._directory_seen = ""
+
+    def answer(self, path: str) -> tuple[int, bytes]:
+        """Return status and body for another router's question."""
+        current = self._configuration.current
+        if path == CONFIGURATION_PATH and current is not None:
+            return 200, current.encoded
+        if path == PACKED_CONFIGURATION_PATH and current is not None:
+            if self._packed[0] != current.version:
+                packed = zlib.compress(current.encoded, PACK_LEVEL)
+                self._packed = (current.version, packed)
+            return 200, self._packed[1]
+        if path == DIRECTORY_PATH:
+            return 200, msgspec.json.encode(self._directory.make_listing())
+        return 404, b""
+
+    def compare(self, peer: Peer) -> None:
+        """Fetch what a peer knows better, as its hello tells."""
+        self._compare_configuration(peer)
+        self._compare_directory(peer)
+
+    def _compare_configuration(self, peer: Peer) -> None:
+        hello = peer.hello
+        if hello.config_version == self._configuration.version:
+            self._configuration.note_version(hello.config_store_version)
+        if hello.config_version <= self._configuration.version:
+            return
+        region = self._settings.region_by_zone.get(hello.zone)
+        if self._is_following_store() and region != self._settings.region:
+            return  # The own feed brings it over the same links.
+        self._start_fetch(PACKED_CONFIGURATION_PATH, self._fetch_configuration, peer)
+
+    def _compare_directory(self, peer: Peer) -> None:
+        hello = peer.hello
+        if self._is_following_store():
+            self._directory_seen = ""
+            return
+        guide = self._neighbourhood.find_guide()
+        if guide is None or guide.host != hello.host:
+            return
+        if hello.directory == self._directory_seen:
+            self._directory.note_version(hello.directory_store_version)
+        elif hello.directory_store_version >= self._directory.store_version:
+            self._start_fetch(DIRECTORY_PATH, self._fetch_directory, peer)
+
+    def _start_fetch(
+        self,
+        path: str,
+        fetch: Callable[[Peer], Coroutine[None, None, None]],
+        peer: Peer,
+    ) -> None:
+        """Fetch from a peer, unless a fetch of the same kind is in progress."""
+        running = self._fetching.get(path)
+        if running is None or running.done():
+            self._fetching[path] = self._loop.create_task(fetch(peer))
+
+    async def _fetch_configuration(self, peer: Peer) -> None:
+        """Take a newer configuration from a peer."""
+        body = await self._fetch(peer, PACKED_CONFIGURATION_PATH)
+        if body is None:
+            return
+        try:
+            encoded = zlib.decompress(body)
+        except zlib.error as error:
+            self._log.write("peers: answer unreadable", error=str(error))
+            return
+        self._configuration.offer(encoded, peer.hello.host)
+
+    async def _fetch_directory(self, peer: Peer) -> None:
+        """Take the directory of the router that follows the store for this one."""
+        seen = peer.hello.directory
+        body = await self._fetch(peer, DIRECTORY_PATH)
+        if body is None:
+            return
+        try:
+            listing = msgspec.json.decode(body, type=Listing)
+        except msgspec.DecodeError as error:
+            self._log.write("peers: answer unreadable", error=str(error))
+            return
+        gone = self._directory.adopt(listing)
+        if gone is None:
+            self._log.write(
+                "directory: list of a peer is older",
+                peer=peer.hello.host,
+                its=listing.store_version,
+                own=self._directory.store_version,
+            )
+            return
+        self._directory_seen = seen
+        for server_id in gone:
+            self._log.write("directory: server gone", server=server_id)
+        self._on_servers()
+
+    async def _fetch(self, peer: Peer, path: str) -> bytes | None:
+        request = b"GET %b HTTP/1.1\r\nHost: router\r\n\r\n" % path.encode()
+        started_at = self._loop.time()
+        try:
+            connection = self._pool.take(peer.address)
+            connection = connection or await self._pool.open(peer.address)
+        except ConnectError as error:
+            self._log.write(
+                "peers: unreachable", peer=peer.hello.host, error=str(error)
+            )
+            return None
+        call = Call(self._loop)
+        connection.start(request, call)
+        try:
+            head, body = await call.wait(PEER_CALL_S)
+        except OSError as error:
+            connection.close()
+            self._log.write(
+                "peers: no answer",
+                peer=peer.hello.host,
+                path=path,
+                error=repr(error),
+                took_s=round(self._loop.time() - started_at, 3),
+            )
+            return None
+        self._pool.give_back(connection)
+        self._log.write(
+            "peers: fetched",
+            peer=peer.hello.host,
+            path=path,
+            bytes=len(body),
+            took_s=round(self._loop.time() - started_at, 3),
+        )
+        return body if head.status == 200 else None
