watches: an answer of the store that is older than what another router told meanwhile is not taken

Callers saw: nothing yet; found while looking for other places with the cause of DRAIN. Cause: a feed is asked for the changes since a version and may wait 0.8 s. A list of servers taken from another router during the wait is newer than the answer, which then put the older entries back, and the version moved on past the change for good. Change: an answer whose version lies below the directory's or the configuration's is dropped; the next one is asked for what changed since the newer version.

--- a/bronzesail/router/watches.py
+++ b/bronzesail/router/watches.py
@@ -145,8 +145,10 @@
             since = self._followed.store_version
             change = await self._store.watch(self.table, since, wait_s)
             self._note_answer()
-            self._take_changes(change.rows)
-            self._followed.note_version(change.version)
+            if change.version >= self._followed.store_version:
+                # Otherwise another router told newer news during the call.
+                self._take_changes(change.rows)
+                self._followed.note_version(change.version)
             wait_s = WAIT_S
             if change.rows and self.gap_s:
                 await asyncio.sleep(self.gap_s)
@@ -163,12 +165,12 @@
             bytes=sum(len(row.value) for row in answer.rows),
             took_s=round(loop.time() - self._call_started_at, 3),
         )
-        if answer.version < self._followed.store_version:
-            raise StoreError("the answer is older than what is known")
         self._note_answer()
-        self._take_all(answer.rows)
-        self._followed.note_version(answer.version)
         self._must_read = False
+        if answer.version >= self._followed.store_version:
+            # Otherwise another router told newer news during the call.
+            self._take_all(answer.rows)
+            self._followed.note_version(answer.version)
 
     def _note_answer(self) -> None:
         if self.has_lost_store:
