tests: a soak of router processes under signals, cuts and changes that overlap

Change: tests/router_soak.py starts routers as processes between the stand-ins, injects faults from a seed (pause, kill, stop, cut and failing store, replaced and leaving servers, new configurations) while callers keep their connections, and checks: what may run once ran at most once, a refusal that says not run is true, each whole answer is its request's own, configurations never go back on one process, repeats and prepaid tokens stay within their limits, and every router serves by the newest configuration in the end.

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,11 @@
-# Targets: setup, demo, binary, test, format, schema, bench-NAME, soak.
+# Targets: setup, demo, binary, test, format, schema, bench-NAME, soak, soak-router.
 PYTHON ?= python3.11
 VENV ?= .venv
 TEST_PROCESSES ?= 4
 BIN := $(VENV)/bin
 RUN := $(BIN)/python -m
 
-.PHONY: setup demo binary test format schema reference soak mutants
+.PHONY: setup demo binary test format schema reference soak soak-router mutants
 
 setup: $(VENV)/.installed
 
@@ -50,3 +50,7 @@
 SEED ?= 1
 soak: setup
 	$(RUN) benchmarks.soak --duration-s $(DURATION_S) --seed $(SEED)
+
+SEEDS ?= 50
+soak-router: setup
+	$(RUN) tests.router_soak --first $(SEED) --seeds $(SEEDS)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -286,6 +286,21 @@
     return body | changes
 
 
+@attrs.frozen
+class RouterAddresses:
+    """An address of its own with free ports for one router."""
+
+    ip: str
+    internal_port: int
+    caller_port: int
+    ready_port: int
+
+    @classmethod
+    def choose(cls):
+        ip = f"127.0.0.{next(_ips) % 250 + 2}"
+        return cls(ip, find_port(ip), find_port(ip), find_port(ip))
+
+
 @attrs.define
 class RunningRouter:
     """One router on an address of its own."""
@@ -343,24 +358,30 @@
             }
             self.store.put("holders", f"other-{number}.0", row, "budget")
 
-    async def start_router(
-        self, name, bounds="", bootstrap=True, store=None, link_mbps=1000
+    def write_settings(
+        self,
+        name,
+        host,
+        bounds="",
+        bootstrap=True,
+        store=None,
+        link_mbps=1000,
     ):
-        ip = f"127.0.0.{next(_ips) % 250 + 2}"
-        internal = find_port(ip)
-        settings = f"""
+        """Write a router's settings file and return its path."""
+        path = self._folder / f"{name}.toml"
+        path.write_text(f"""
 nodeName = "{name}"
-ip = "{ip}"
+ip = "{host.ip}"
 zone = "z1"
 region = "r1"
 bootstrap = {str(bootstrap).lower()}
-internalPorts = [{internal}, {internal}]
+internalPorts = [{host.internal_port}, {host.internal_port}]
 seeds = []
 [zones]
 z1 = "r1"
 [listen]
-frontend = "{ip}:{(port := find_port(ip))}"
-ready = "{ip}:{find_port(ip)}"
+frontend = "{host.ip}:{host.caller_port}"
+ready = "{host.ip}:{host.ready_port}"
 [limits]
 memoryMb = 300
 linkMbps = {link_mbps}
@@ -369,13 +390,19 @@
 {bounds}
 [platform]
 address = "{store or self.address}"
-"""
-        path = self._folder / f"{name}.toml"
-        path.write_text(settings)
+""")
+        return path
+
+    async def start_router(
+        self, name, bounds="", bootstrap=True, store=None, link_mbps=1000
+    ):
+        host = RouterAddresses.choose()
+        path = self.write_settings(name, host, bounds, bootstrap, store, link_mbps)
         log = os.open(self._folder / f"{name}.log", os.O_CREAT | os.O_WRONLY)
         loop = asyncio.get_running_loop()
         app = Application(loop, str(path), read_clock(), log)
-        router = RunningRouter(app, asyncio.create_task(app.run()), ip, port)
+        task = asyncio.create_task(app.run())
+        router = RunningRouter(app, task, host.ip, host.caller_port)
         self.routers.append(router)
         return router
 
--- /dev/null
+++ b/tests/router_soak.py
@@ -0,0 +1,423 @@
+"""Router processes under faults from outside, with the promises checked from outside.
+
+Every third seed plays routers of a large fleet, where they work for each other.
+
+``python -m tests.router_soak --first 1 --seeds 50`` runs fifty seeds, one after the
+other, and ends with 1 if one of them breaks a promise.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import collections
+import itertools
+import os
+import random
+import signal
+import sys
+import tempfile
+from pathlib import Path
+
+import attrs
+import h11
+
+from bronzesail.router.neighbourhood import SMALL_FLEET
+from tests.platform_standin import (
+    HOST_NAME,
+    KEY,
+    Deployment,
+    RouterAddresses,
+    answer_plainly,
+    make_configuration,
+    stream_events,
+    wait_until,
+)
+
+N_ROUTERS = 4
+N_CALLERS = 12
+N_EVENTS = 6  # Of a stream; each stands for 5 tokens.
+PROMPT_TOKENS, OUTPUT_TOKENS = 40, 30
+PREPAID = 15_000  # Most seeds use it up.
+RATIO, SLACK, WINDOW_S = 0.2, 30, 10.0
+N_SERVICES = 2
+FAULTS_S = 8.0
+PATHS = ("/book/", "/look/", "/chat/", "/talk/")
+ONCE = ("/book/", "/chat/")
+NOT_RUN = (408, 421, 429, 503)
+ROOT = Path(__file__).resolve().parent.parent
+
+
+@attrs.define
+class Sent:
+    """A request as its caller saw it; `status` is 0 where no answer came."""
+
+    id: str
+    path: str
+    router: str
+    at: float
+    status: int = 0
+    body: bytes | None = None
+
+
+@attrs.define
+class RouterProcess:
+    """A router on one host, over its restarts."""
+
+    name: str
+    addresses: RouterAddresses
+    settings: Path
+    store_link: object
+    process: asyncio.subprocess.Process | None = None
+    starts: int = 0
+    restarting: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+
+    async def start(self):
+        environment = {
+            "PATH": os.environ["PATH"],
+            "BRONZESAIL_NODE_FILE": str(self.settings),
+        }
+        path = self.settings.with_suffix(".log")
+        log = os.open(path, os.O_CREAT | os.O_WRONLY | os.O_APPEND)
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "bronzesail.router",
+            cwd=ROOT,
+            env=environment,
+            stdout=log,
+            stderr=log,
+        )
+        os.close(log)
+        self.starts += 1
+
+    def signal(self, number):
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def restart(self, number):
+        """End the process by a signal, and start it again once it is gone."""
+        async with self.restarting:
+            self.signal(number)
+            self.signal(signal.SIGCONT)
+            await self.process.wait()
+            await self.start()
+
+
+class Soak:
+    """One seed: a fleet, callers, faults, and the checks at the end."""
+
+    def __init__(self, folder, seed):
+        self.random = random.Random(seed)
+        self.n_others = SMALL_FLEET if seed % 3 == 0 else 0
+        self.deployment = Deployment(folder)
+        self.routers = []
+        self.sent = []
+        self.probes = collections.defaultdict(list)
+        self.version = 1
+        self.replaced = 0
+        self._started_at = 0.0
+        self._ids = itertools.count(1)
+        self._is_over = False
+
+    async def run(self):
+        """Play the seed and return the promises that were broken."""
+        async with self.deployment:
+            await self._start()
+            callers = [asyncio.create_task(self._call()) for _ in range(N_CALLERS)]
+            callers += [asyncio.create_task(self._probe(r)) for r in self.routers]
+            try:
+                await self._inject_faults()
+                await self._heal()
+                self._is_over = True
+                await asyncio.gather(*callers)
+            finally:
+                for task in callers:
+                    task.cancel()
+                for router in self.routers:
+                    router.signal(signal.SIGKILL)
+                    await router.process.wait()
+        return self._check()
+
+    async def _start(self):
+        self._started_at = self._now()
+        deployment = self.deployment
+        deployment.add_rows_of_other_hosts(self.n_others)
+        deployment.store.put("op", "config", self._make_configuration())
+        for number in range(4):
+            await deployment.start_backend(
+                f"e{number}", "llm", stream_events(N_EVENTS, 0.02)
+            )
+        for number in range(4):
+            await deployment.start_backend(f"p{number}", "app", answer_plainly)
+        bounds = f"retryBudgetRatio = {RATIO}\nbudgetSlack = {SLACK}"
+        for number in range(N_ROUTERS):
+            name, addresses = f"h{number}", RouterAddresses.choose()
+            link = await deployment.open_store_link()
+            path = deployment.write_settings(
+                name, addresses, bounds, store=link.address
+            )
+            self.routers.append(RouterProcess(name, addresses, path, link))
+        await asyncio.gather(*(router.start() for router in self.routers))
+        n_rows = N_ROUTERS + self.n_others
+        await wait_until(
+            lambda: len(deployment.store.find("holders", "budget")) == n_rows
+        )
+        for router in self.routers:
+            text = router.settings.read_text()
+            router.settings.write_text(text.replace("bootstrap = true", ""))
+
+    def _make_configuration(self):
+        configuration = make_configuration(version=self.version, prepaid=PREPAID)
+        route = configuration["routes"][-1]
+        prefix = f"/v{self.version}/"
+        probe = {**route, "name": "probe", "prefix": prefix, "public": True}
+        configuration["routes"].append(probe)
+        return configuration
+
+    # Callers.
+
+    async def _call(self):
+        while not self._is_over:
+            router = self.random.choice(self.routers)
+            try:
+                await self._use_connection(router, self.random.randrange(1, 30))
+            except (OSError, TimeoutError, h11.RemoteProtocolError):
+                await asyncio.sleep(0.02)
+
+    async def _use_connection(self, router, count):
+        """Send requests on one connection until it ends."""
+        async with asyncio.timeout(1.0):
+            reader, writer = await asyncio.open_connection(
+                router.addresses.ip, router.addresses.caller_port
+            )
+        try:
+            for _ in range(count):
+                path = self.random.choice(PATHS)
+                if self._is_over or not await self._exchange(
+                    reader, writer, router, path
+                ):
+                    return
+                await asyncio.sleep(self.random.uniform(0.0, 0.05))
+        finally:
+            writer.close()
+
+    async def _exchange(self, reader, writer, router, path):
+        """Send one request and take its answer; tell whether to go on."""
+        name = f"r{next(self._ids)}"
+        sent = Sent(name, path, f"{router.name}.{router.starts}", self._now())
+        self.sent.append(sent)
+        counts = ""
+        if path in ("/chat/", "/talk/"):
+            counts = f"X-Token-Counts: {PROMPT_TOKENS},{OUTPUT_TOKENS}\r\n"
+        writer.write(
+            f"POST {path}{name} HTTP/1.1\r\nHost: {HOST_NAME}\r\n"
+            f"X-Attempt-Id: {name}\r\nX-Deadline-Ms: 4000\r\n{counts}"
+            f"Authorization: Bearer {KEY}\r\n"
+            f"Content-Length: {len(name)}\r\n\r\n{name}".encode()
+        )
+        async with asyncio.timeout(5.0):
+            sent.status, sent.body, keeps = await _read_answer(reader)
+        return keeps
+
+    async def _probe(self, router):
+        """Ask for the newest and for older configurations' routes, in turn."""
+        while not self._is_over:
+            version = self.random.randrange(1, self.version + 1)
+            start = router.starts
+            path = f"/v{version}/"
+            try:
+                async with asyncio.timeout(2.0):
+                    reader, writer = await asyncio.open_connection(
+                        router.addresses.ip, router.addresses.caller_port
+                    )
+                    writer.write(
+                        f"GET {path} HTTP/1.1\r\nHost: {HOST_NAME}\r\n"
+                        f"X-Attempt-Id: q{next(self._ids)}\r\n"
+                        "Connection: close\r\n\r\n".encode()
+                    )
+                    status, _, _ = await _read_answer(reader)
+                    writer.close()
+                if status == 200 and start == router.starts:
+                    self.probes[f"{router.name}.{start}"].append(version)
+            except (OSError, TimeoutError, h11.RemoteProtocolError):
+                pass
+            await asyncio.sleep(0.05)
+
+    # Faults.
+
+    async def _inject_faults(self):
+        faults = (
+            self._pause,
+            self._kill,
+            self._stop,
+            self._cut_store,
+            self._fail_store,
+            self._replace_server,
+            self._drain_server,
+            self._change_configuration,
+        )
+        until = self._now() + FAULTS_S
+        running = []
+        while self._now() < until:
+            fault = self.random.choice(faults)
+            running.append(asyncio.create_task(fault()))
+            await asyncio.sleep(self.random.uniform(0.1, 0.8))
+        await asyncio.gather(*running)
+
+    async def _pause(self):
+        router = self.random.choice(self.routers)
+        router.signal(signal.SIGSTOP)
+        await asyncio.sleep(self.random.uniform(0.2, 4.0))
+        router.signal(signal.SIGCONT)
+
+    async def _kill(self):
+        await self.random.choice(self.routers).restart(signal.SIGKILL)
+
+    async def _stop(self):
+        await self.random.choice(self.routers).restart(signal.SIGTERM)
+
+    async def _cut_store(self):
+        link = self.random.choice(self.routers).store_link
+        link.is_cut = True
+        await asyncio.sleep(self.random.uniform(0.5, 4.0))
+        link.is_cut = False
+
+    async def _fail_store(self):
+        self.deployment.store.failure = self.random.choice(["silent", "busy", "lost"])
+        await asyncio.sleep(self.random.uniform(0.5, 3.0))
+        self.deployment.store.failure = None
+
+    async def _replace_server(self):
+        """Let a server go on under a new id, which its entry tells late."""
+        backend = self.random.choice(self.deployment.backends)
+        self.replaced += 1
+        old, backend.id = backend.id, f"{backend.id.partition('-')[0]}-{self.replaced}"
+        await asyncio.sleep(self.random.uniform(0.2, 2.0))
+        self.deployment.store.remove("servers", old)
+        self.deployment.store.put("servers", backend.id, backend.make_entry())
+
+    async def _drain_server(self):
+        backend = self.random.choice(self.deployment.backends)
+        name = backend.id
+        self.deployment.store.put("servers", name, backend.make_entry("draining"))
+        await asyncio.sleep(self.random.uniform(0.5, 2.0))
+        if backend.id == name:
+            self.deployment.store.put("servers", name, backend.make_entry())
+
+    async def _change_configuration(self):
+        self.version += 1
+        self.deployment.store.put("op", "config", self._make_configuration())
+
+    async def _heal(self):
+        """Wait until each router serves by the newest configuration."""
+        self.deployment.store.failure = None
+        for router in self.routers:
+            router.store_link.is_cut = False
+            router.signal(signal.SIGCONT)
+            key = f"{router.name}.{router.starts}"
+            await wait_until(lambda key=key: self.version in self.probes[key][-5:])
+
+    # Checks.
+
+    def _check(self):
+        runs, arrivals = collections.Counter(), []
+        for backend in self.deployment.backends:
+            runs.update(r.find_header("x-attempt-id") for r in backend.requests)
+            arrivals += backend.arrivals
+        broken = []
+        for sent in self.sent:
+            broken += self._check_request(sent, runs[sent.id])
+        for key, versions in self.probes.items():
+            if versions != sorted(versions):
+                broken.append(f"{key} went back to an older configuration")
+        repeats = len(arrivals) - len(set(arrivals))
+        n_requests = next(self._ids) - 1
+        n_windows = (self._now() - self._started_at) // WINDOW_S + 1
+        if repeats > RATIO * n_requests + N_SERVICES * SLACK * n_windows:
+            broken.append(f"{repeats} repeats of {n_requests} requests")
+        spent = sum(self._count_spent(sent) for sent in self.sent)
+        if spent > PREPAID:
+            broken.append(f"{spent} tokens spent of {PREPAID}")
+        return broken
+
+    @staticmethod
+    def _check_request(sent, n_runs):
+        if sent.path in ONCE and n_runs > 1:
+            yield f"{sent.id} ran {n_runs} times"
+        if sent.path in ONCE and sent.status in NOT_RUN and n_runs:
+            yield f"{sent.id} was answered {sent.status} and ran"
+        if sent.status != 200 or sent.body is None:
+            return
+        expected = sent.id.encode()
+        if sent.path in ("/chat/", "/talk/"):
+            events = range(1, N_EVENTS + 1)
+            expected = b"".join(b"id: %d\ndata: x\n\n" % number for number in events)
+        if sent.body != expected:
+            yield f"{sent.id} got {sent.body!r}"
+
+    @staticmethod
+    def _count_spent(sent):
+        if sent.status != 200 or sent.path not in ("/chat/", "/talk/"):
+            return 0
+        return PROMPT_TOKENS + 5 * (sent.body or b"").count(b"\n\n")
+
+    @staticmethod
+    def _now():
+        return asyncio.get_running_loop().time()
+
+
+async def _read_answer(reader):
+    """Return status, body (None if cut short) and whether the connection goes on."""
+    parser = h11.Connection(h11.CLIENT)
+    parser.send(h11.Request(method="GET", target="/", headers=[("Host", "x")]))
+    parser.send(h11.EndOfMessage())
+    status, body = 0, b""
+    while True:
+        event = parser.next_event()
+        if event is h11.NEED_DATA:
+            data = await reader.read(65536)
+            if not data and not status:
+                raise ConnectionResetError
+            parser.receive_data(data)
+        elif isinstance(event, h11.Response):
+            status = event.status_code
+        elif isinstance(event, h11.Data):
+            body += event.data
+        elif isinstance(event, h11.EndOfMessage):
+            return status, body, parser.their_state is h11.DONE
+        else:
+            return status, None, False
+
+
+async def play_seed(seed, folder):
+    """Play one seed; return what it broke and a line of figures."""
+    soak = Soak(Path(folder), seed)
+    broken = await soak.run()
+    statuses = collections.Counter(sent.status for sent in soak.sent)
+    starts = sum(router.starts for router in soak.routers)
+    return broken, f"{len(soak.sent)} requests, {starts} starts, {dict(statuses)}"
+
+
+def main():
+    """Play seeds one after the other."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=50)
+    parser.add_argument("--keep", help="folder for settings and logs of each seed")
+    arguments = parser.parse_args()
+    n_failed = 0
+    for seed in range(arguments.first, arguments.first + arguments.seeds):
+        with tempfile.TemporaryDirectory() as folder:
+            if arguments.keep:
+                folder = Path(arguments.keep) / str(seed)
+                folder.mkdir(parents=True)
+            broken, figures = asyncio.run(play_seed(seed, folder))
+        n_failed += bool(broken)
+        print(f"seed {seed}: {figures}", *broken[:5], sep="\n  ", flush=True)
+    print(f"{arguments.seeds} seeds, {n_failed} with a promise broken")
+    sys.exit(n_failed > 0)
+
+
+if __name__ == "__main__":
+    main()
