router: a full link between regions is not filled further by what routers ask of the store

A seventh of the hosts restarts, each survivor reads the rows of all routers for each one that died, and a configuration of 280 KB crosses the full link once for each reader, unpacked. Readers then lose the store, all the others of the data centre try, and all of them try again every quarter of a second. Change: at most four routers of a data centre try while none hears the store; gaps between calls and the time given to an answer double with each failure in a large fleet; configurations are fetched packed from any peer that has a newer one; a region far from the store, by the latency of its writes, leaves the configuration's feed to one that is near and tells it; one row is read for a router that died. The single row that is read has no test of its own yet.

--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import os
 import random
 import signal
@@ -31,7 +32,13 @@
 from .services import Services
 from .store import StoreClient, StoreError
 from .waiting import WaitingLine
-from .watches import ConfigurationKeeper, ConfigurationWatch, ServerWatch
+from .watches import (
+    MAX_BACKOFF,
+    RETRY_S,
+    ConfigurationKeeper,
+    ConfigurationWatch,
+    ServerWatch,
+)
 
 if TYPE_CHECKING:
     from ..errors import Refusal
@@ -45,6 +52,7 @@
 DRAIN_LOOK_S = 0.1  # Between looks at what is still in progress at a stop.
 TAKE_UNTIL_S = 3.0  # Requests sent up to 3 s after SIGTERM are served to their end.
 EXIT_MARGIN_S = 1.2  # For gifts and a call to the store, before the process is killed.
+LATER_RETRY = 4  # Times the gap; where all lost the store, the first try for the rest.
 HOLDINGS_S = 2.0  # Holdings change within seconds; a line is 500 bytes.
 RETURN_S = 0.5  # A call across regions.
 HOLDERS_S = 3.0  # Between looks at the rows of the other processes.
@@ -169,7 +177,6 @@
             loop,
             self.log,
             self.pool,
-            settings,
             self.configuration,
             self.directory,
             self.neighbourhood,
@@ -181,14 +188,16 @@
             self.log,
             self._may_follow_store,
             self._tell_neighbours,
+            self._find_retry_s,
             self.directory,
             self._take_servers,
         )
         self._configuration_watch = ConfigurationWatch(
             self.store,
             self.log,
-            self._may_follow_store,
+            lambda: self._may_follow_store() and not self._is_told_from_near_store(),
             self._tell_neighbours,
+            self._find_retry_s,
             self.configuration,
         )
 
@@ -309,8 +318,13 @@
 
     @property
     def is_following_store(self) -> bool:
-        """Whether this router itself hears the store's changes."""
-        return self._configuration_watch.is_in_step and self._server_watch.is_in_step
+        """Whether this router hears the store's changes for its data centre."""
+        if not self._server_watch.is_in_step:
+            return False
+        return self._configuration_watch.is_in_step or self._is_told_from_near_store()
+
+    def _is_told_from_near_store(self) -> bool:
+        return self.neighbourhood.is_told_from_near_store(self.store.latency_s)
 
     def _answer_ready(self, path: str) -> tuple[int, bytes]:
         return (200, b"ready") if self.is_ready() else (503, b"not ready")
@@ -373,6 +387,19 @@
             self._guide = host
         return may_follow
 
+    def _find_retry_s(self, failures: int) -> float:
+        """Return how long to wait before the store is called again."""
+        if not self.neighbourhood.is_large:
+            return RETRY_S
+        longest_s = RETRY_S * min(1 << failures, MAX_BACKOFF)
+        if not self.neighbourhood.is_among_first():
+            longest_s *= LATER_RETRY
+        return longest_s * self._random.uniform(0.5, 1.0)
+
+    def _find_store_latency_s(self) -> float | None:
+        latency_s = self.store.latency_s
+        return None if math.isinf(latency_s) else round(latency_s, 4)
+
     def _make_hello(self) -> Hello:
         free = {
             account: self.book.count_spendable(account)
@@ -392,6 +419,7 @@
             is_in_step=self.is_following_store,
             has_lost_store=self._configuration_watch.has_lost_store
             or self._server_watch.has_lost_store,
+            store_latency_s=self._find_store_latency_s(),
             config_store_version=self.configuration.store_version,
             directory_store_version=self.directory.store_version,
             directory=f"{self.incarnation}.{self.directory.generation}",
@@ -470,11 +498,10 @@
             return
         dead_at = read_clock()
         try:
-            holders = await self.keeper.read_holders()
+            found = await self.keeper.read_holder(peer.hello.holder_key)
         except StoreError as error:
-            self.log.write("budget: holders unread", peer=host, error=str(error))
+            self.log.write("budget: holder unread", peer=host, error=str(error))
             return
-        found = holders.get(peer.hello.holder_key)
         if found is None:
             return
         dead_by_s = self.store.clock.read_latest(dead_at)
--- a/bronzesail/router/budget_keeper.py
+++ b/bronzesail/router/budget_keeper.py
@@ -172,6 +172,23 @@
         """Take it that a process was dead at a time on the store's clock."""
         self._dead.setdefault(key, _Dead(key, row, version, dead_by_s))
 
+    async def read_holder(self, key: str) -> tuple[HolderRow, int] | None:
+        """Return the row of one process with its version, None if there is none.
+
+        Raises
+        ------
+        StoreError
+            If the store does not answer.
+        """
+        row = await self._store.read_row(HOLDER_TABLE, PART, key)
+        if row is None:
+            return None
+        try:
+            return msgspec.json.decode(row.value, type=HolderRow), row.version
+        except msgspec.DecodeError as error:
+            self._log.write("budget: row unreadable", key=key, error=str(error))
+            return None
+
     async def read_holders(self) -> dict[str, tuple[HolderRow, int]]:
         """Return the rows of all processes, by key, with their versions.
 
--- a/bronzesail/router/neighbourhood.py
+++ b/bronzesail/router/neighbourhood.py
@@ -25,8 +25,9 @@
 SMALL_FLEET = 12  # Routers; each tells each other 300 bytes twice a second.
 LIVE_S = 1.5  # Three missed hellos.
 READERS = 2  # Routers of a data centre that follow the store, so that one may be lost.
-BLIND_STEP_S = 0.5  # Twice as many try after each such time without any in step.
-MAX_DOUBLINGS = 8  # More than all routers of a data centre.
+BLIND_S = 0.5  # Without any in step; then MAX_READERS try.
+NEARER_S = 0.02  # Data centres of a region are 2 ms apart, regions 60 ms.
+MAX_READERS = 4  # A link that is full gets fuller with each; four are seldom all cut.
 KEEP_S = 30.0  # A router unheard for this long is forgotten.
 TOLD_S = 4.0  # Two leaders in a row may go; then what they told of others is too old.
 SUSPECT_S = 2.0  # A banker that did not answer is found silent by then.
@@ -53,6 +54,7 @@
     is_leaving: bool = False
     is_in_step: bool = False
     has_lost_store: bool = False
+    store_latency_s: float | None = None
 
 
 class Neighbourhood:
@@ -154,9 +156,9 @@
     def may_follow_store(self, is_in_step: bool) -> bool:
         """Whether this router is to follow the store itself.
 
-        Two do so in a data centre. While none of them hears the store, more and more
-        others try; each of them costs the store and the links one more copy of all
-        news.
+        Two do so in a data centre, and four try while none of them hears the store;
+        each costs the store and the links one more copy of all news. One that has
+        lost the store is passed over, and tries again less and less often.
 
         Parameters
         ----------
@@ -171,6 +173,36 @@
             return sum(known.is_in_step for known in better) < READERS
         return n_trying < self._count_readers()
 
+    def is_told_from_near_store(self, latency_s: float) -> bool:
+        """Whether a router of a region nearer to the store tells what it hears.
+
+        Its news come packed, and once for a data centre: a configuration need not
+        cross the narrow link between regions as the store writes it.
+
+        Parameters
+        ----------
+        latency_s : float
+            Latency of the store from here, in seconds.
+        """
+        if not self.is_large:
+            return False
+        now = self._now()
+        own_region = self._find_region(self._zone)
+        for known in self._known.values():
+            if not known.is_in_step or now - known.heard_at >= LIVE_S:
+                continue
+            if self._find_region(known.zone) == own_region:
+                continue
+            if known.store_latency_s is None:
+                continue
+            if known.store_latency_s + NEARER_S < latency_s:
+                return True
+        return False
+
+    def is_among_first(self) -> bool:
+        """Whether this router ranks among those that try where all lost the store."""
+        return len(self._list_better()) < MAX_READERS
+
     def _count_readers(self) -> int:
         if any(known.is_in_step for known in self._list_live()):
             self._blind_since = None
@@ -178,8 +210,7 @@
         now = self._now()
         if self._blind_since is None:
             self._blind_since = now
-        doublings = int((now - self._blind_since) / BLIND_STEP_S)
-        return int(READERS << min(doublings, MAX_DOUBLINGS))
+        return READERS if now - self._blind_since < BLIND_S else MAX_READERS
 
     def _list_better(self) -> list[Neighbour]:
         """Return the live routers of the data centre that rank before this one."""
--- a/bronzesail/router/news.py
+++ b/bronzesail/router/news.py
@@ -15,7 +15,6 @@
     import asyncio
     from collections.abc import Callable, Coroutine
 
-    from ..model import HostSettings
     from .client import ClientPool
     from .directory import Directory
     from .log import Log
@@ -40,8 +39,6 @@
         Where decisions are written.
     pool : ClientPool
         Connections to the other routers.
-    settings : HostSettings
-        Tells where this host stands.
     configuration : ConfigurationKeeper
         The configuration in force.
     directory : Directory
@@ -59,7 +56,6 @@
         loop: asyncio.AbstractEventLoop,
         log: Log,
         pool: ClientPool,
-        settings: HostSettings,
         configuration: ConfigurationKeeper,
         directory: Directory,
         neighbourhood: Neighbourhood,
@@ -69,7 +65,6 @@
         self._loop = loop
         self._log = log
         self._pool = pool
-        self._settings = settings
         self._configuration = configuration
         self._directory = directory
         self._neighbourhood = neighbourhood
@@ -102,12 +97,11 @@
         hello = peer.hello
         if hello.config_version == self._configuration.version:
             self._configuration.note_version(hello.config_store_version)
-        if hello.config_version <= self._configuration.version:
-            return
-        region = self._settings.region_by_zone.get(hello.zone)
-        if self._is_following_store() and region != self._settings.region:
-            return  # The own feed brings it over the same links.
-        self._start_fetch(PACKED_CONFIGURATION_PATH, self._fetch_configuration, peer)
+        if hello.config_version > self._configuration.version:
+            # Packed, it is often here before the own feed, also over a full link.
+            self._start_fetch(
+                PACKED_CONFIGURATION_PATH, self._fetch_configuration, peer
+            )
 
     def _compare_directory(self, peer: Peer) -> None:
         hello = peer.hello
--- a/bronzesail/router/peers.py
+++ b/bronzesail/router/peers.py
@@ -65,6 +65,7 @@
     is_leaving: bool = False
     is_in_step: bool = False
     has_lost_store: bool = False
+    store_latency_s: float | None = None  # None where it is not known.
     # The store's versions that configuration and directory are complete up to.
     config_store_version: int = 0
     directory_store_version: int = 0
@@ -361,6 +362,7 @@
                 is_leaving=hello.is_leaving,
                 is_in_step=hello.is_in_step,
                 has_lost_store=hello.has_lost_store,
+                store_latency_s=hello.store_latency_s,
             ),
             {
                 zone: {host: split_address(text) for host, text in hosts.items()}
--- a/bronzesail/router/store.py
+++ b/bronzesail/router/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -20,6 +21,7 @@
 
 CALL_TIMEOUT_S = 1.0  # 60 ms across regions; answers slowed 60 times take 0.4 s.
 WATCH_MARGIN_S = 0.8  # After the wait itself; answers slowed 90 times take 0.45 s.
+LATENCY_WEIGHT = 0.1  # Of one write; ten writes take 2 to 20 s.
 PAGE_ROWS = 500  # The most that the store returns at once.
 
 
@@ -70,6 +72,7 @@
         self.clock = StoreClock()
         self.calls = 0
         self.failures_in_a_row = 0
+        self.latency_s = math.inf  # Of writes, smoothed; grows slowly, falls at once.
 
     async def transact(
         self,
@@ -88,6 +91,7 @@
         """
         encoded = self._wire.encode_transaction(checks, writes, removals)
         reply = await self._call(encoded, CALL_TIMEOUT_S)
+        self._note_latency(reply.received_at - reply.sent_at)
         if reply.status == 412:
             raise ConflictError(self._decode(reply).rows)
         if reply.status != 200:
@@ -95,14 +99,19 @@
             raise StoreError(f"status {reply.status}", is_unknown=is_unknown)
         return self._decode(reply).version
 
-    async def read_table(self, table: str, part: str = "") -> RowsAnswer:
-        """Return all rows of a part, as of its first page's version."""
+    async def read_table(
+        self, table: str, part: str = "", patience: int = 1
+    ) -> RowsAnswer:
+        """Return all rows of a part, as of its first page's version.
+
+        `patience` is how many times longer than usual to wait for the answer.
+        """
         first: RowsAnswer | None = None
         start = ""
         rows: list[Row] = []
         while True:
             encoded = self._wire.encode_read(table, part, start, PAGE_ROWS)
-            reply = await self._call(encoded, CALL_TIMEOUT_S)
+            reply = await self._call(encoded, CALL_TIMEOUT_S * patience)
             if reply.status != 200:
                 raise StoreError(f"status {reply.status}")
             answer = self._decode(reply)
@@ -114,9 +123,22 @@
         first.rows[:] = rows
         return first
 
-    async def watch(self, table: str, version: int, wait_s: float) -> RowsAnswer:
+    async def read_row(self, table: str, part: str, key: str) -> Row | None:
+        """Return one row, None if there is none."""
+        encoded = self._wire.encode_read(table, part, key, 1)
+        reply = await self._call(encoded, CALL_TIMEOUT_S)
+        if reply.status != 200:
+            raise StoreError(f"status {reply.status}")
+        rows = self._decode(reply).rows
+        return rows[0] if rows and rows[0].key == key else None
+
+    async def watch(
+        self, table: str, version: int, wait_s: float, patience: int = 1
+    ) -> RowsAnswer:
         """Return the changes of a table after `version`, waiting for the first.
 
+        `patience` is how many times longer than usual to wait for the answer.
+
         Raises
         ------
         HistoryLostError
@@ -125,7 +147,7 @@
             If the call failed.
         """
         encoded = self._wire.encode_watch(table, version, wait_s)
-        reply = await self._call(encoded, wait_s + WATCH_MARGIN_S)
+        reply = await self._call(encoded, wait_s + WATCH_MARGIN_S * patience)
         if reply.status == 410:
             raise HistoryLostError("the history is gone")
         if reply.status != 200:
@@ -136,6 +158,11 @@
         """Close the kept connections."""
         self._pool.close()
 
+    def _note_latency(self, latency_s: float) -> None:
+        smoothed_s = self.latency_s + LATENCY_WEIGHT * (latency_s - self.latency_s)
+        is_first = math.isinf(self.latency_s)
+        self.latency_s = latency_s if is_first else min(latency_s, smoothed_s)
+
     def _decode(self, reply: _Reply) -> RowsAnswer:
         try:
             answer = self._wire.decode_rows(reply.body)
--- a/bronzesail/router/watches.py
+++ b/bronzesail/router/watches.py
@@ -21,11 +21,18 @@
     from .log import Log
     from .store import StoreClient
 
-__all__ = ["ConfigurationKeeper", "ConfigurationWatch", "ServerWatch"]
+__all__ = [
+    "MAX_BACKOFF",
+    "RETRY_S",
+    "ConfigurationKeeper",
+    "ConfigurationWatch",
+    "ServerWatch",
+]
 
 WAIT_S = 0.8  # With the margin of a call, a silent store is found out in 1.6 s.
 SERVER_GAP_S = 0.35  # Joins heartbeats, each of which changes an entry, into one call.
 RETRY_S = 0.25  # Between calls to a store that does not answer.
+MAX_BACKOFF = 8  # Of the retry gap where many share a link, and of the patience.
 GUIDED_S = 0.1  # Between looks whether another router still follows the store.
 READ_AGAIN_S = 6.0  # A feed that hears nothing is found out by a read.
 
@@ -101,11 +108,14 @@
         log: Log,
         may_follow: Callable[[], bool],
         on_step: Callable[[], None],
+        find_retry_s: Callable[[int], float],
         followed: _Followed,
     ) -> None:
         self._store = store
         self._log = log
         self._may_follow = may_follow
+        self._find_retry_s = find_retry_s
+        self._failures = 0
         self._on_step = on_step
         self._followed = followed
         self._must_read = False
@@ -129,7 +139,7 @@
                 self._log.write("store: history lost", table=self.table)
             except StoreError as error:
                 self._note_failure(str(error))
-                await asyncio.sleep(RETRY_S)
+                await asyncio.sleep(self._find_retry_s(self._failures))
 
     async def _follow(self) -> None:
         loop = asyncio.get_running_loop()
@@ -143,7 +153,7 @@
                 read_at = loop.time()
             self._call_started_at = loop.time()
             since = self._followed.store_version
-            change = await self._store.watch(self.table, since, wait_s)
+            change = await self._store.watch(self.table, since, wait_s, self._patience)
             self._note_answer()
             if change.version >= self._followed.store_version:
                 # Otherwise another router told newer news during the call.
@@ -156,7 +166,7 @@
     async def _read(self) -> None:
         loop = asyncio.get_running_loop()
         self._call_started_at = loop.time()
-        answer = await self._store.read_table(self.table)
+        answer = await self._store.read_table(self.table, patience=self._patience)
         self._log.write(
             "store: table read",
             table=self.table,
@@ -172,7 +182,13 @@
             self._take_all(answer.rows)
             self._followed.note_version(answer.version)
 
+    @property
+    def _patience(self) -> int:
+        """How many times longer than usual to wait, as a full link delays answers."""
+        return min(1 << self._failures, MAX_BACKOFF)
+
     def _note_answer(self) -> None:
+        self._failures = 0
         if self.has_lost_store:
             self.has_lost_store = False
             self._note_return()
@@ -186,6 +202,7 @@
             reason=reason,
             took_s=round(took_s, 3),
         )
+        self._failures += 1
         self.has_lost_store = True
         self._note_step(False, reason)
 
@@ -218,9 +235,10 @@
         log: Log,
         may_follow: Callable[[], bool],
         on_step: Callable[[], None],
+        find_retry_s: Callable[[int], float],
         keeper: ConfigurationKeeper,
     ) -> None:
-        super().__init__(store, log, may_follow, on_step, keeper)
+        super().__init__(store, log, may_follow, on_step, find_retry_s, keeper)
         self._keeper = keeper
 
     def _take_all(self, rows: list[Row]) -> None:
@@ -244,10 +262,11 @@
         log: Log,
         may_follow: Callable[[], bool],
         on_step: Callable[[], None],
+        find_retry_s: Callable[[int], float],
         directory: Directory,
         on_change: Callable[[], None],
     ) -> None:
-        super().__init__(store, log, may_follow, on_step, directory)
+        super().__init__(store, log, may_follow, on_step, find_retry_s, directory)
         self._directory = directory
         self._on_change = on_change
 
