router: sends of a service are counted, and a repeat withheld is logged with what decided it

Change: bronzesail_service_requests_total and bronzesail_sends_total (first, repeat, withheld) by service, the number of routers that share the slack as a state, and a line for each repeat that the budget withholds, with requests, repeats and routers. No decision changes. Test: test_counted_sends_are_the_arrivals_at_the_servers compares the counters with the arrivals at stand-ins.

--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -339,6 +339,7 @@
         set_state = self.services.metrics.set_state
         set_state("config_version", self.configuration.version)
         set_state("servers", len(self.directory))
+        set_state("routers_counted", self.services.count_hosts() or 0)
         set_state("store_calls", self.store.calls)
         set_state("store_failures_in_a_row", self.store.failures_in_a_row)
         set_state("connections_opened", self.pool.opened)
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -205,6 +205,7 @@
             self._request.body,
         )
         self._services.retry_budget(self._service).note_request()
+        self._services.metrics.count_service_request(self._service)
 
     async def _reserve(self) -> None:
         assert self._head is not None
@@ -292,9 +293,21 @@
 
     def _take_repeat(self) -> bool:
         bounds = self._services.settings.bounds
-        return self._services.retry_budget(self._service).take(
-            bounds.retry_ratio, bounds.retry_slack, self._services.count_hosts()
+        budget = self._services.retry_budget(self._service)
+        hosts = self._services.count_hosts()
+        if budget.take(bounds.retry_ratio, bounds.retry_slack, hosts):
+            return True
+        requests, repeats = budget.count()
+        self._services.metrics.count_send(self._service, "withheld")
+        self._services.log.write(
+            "request: repeat withheld",
+            request=self._id,
+            service=self._service,
+            requests=requests,
+            repeats=repeats,
+            hosts=hosts,
         )
+        return False
 
     async def _exchange(self, server: BackendServer, connection: Connection) -> Outcome:
         assert self._head is not None and self._route is not None
@@ -317,6 +330,8 @@
         self._connection = connection
         self._tried.append(server.id)
         self._sends += 1
+        kind = "first" if self._sends == 1 else "repeat"
+        self._services.metrics.count_send(self._service, kind)
         sent_at = self._loop.time()
         load = placement.get_load(server.id)
         present = placement.estimate_present(server.id, sent_at)
--- a/bronzesail/router/metrics.py
+++ b/bronzesail/router/metrics.py
@@ -25,6 +25,16 @@
             registry=self._registry,
             buckets=LATENCY_BUCKETS_S,
         )
+        self.service_requests = Counter(
+            "bronzesail_service_requests_total",
+            "Requests that callers sent for a service.",
+            registry=self._registry,
+        )
+        self.sends = Counter(
+            "bronzesail_sends_total",
+            "Sends to a service: first, repeat, or withheld by the retry budget.",
+            registry=self._registry,
+        )
         self.gauges = Gauge(
             "bronzesail_state",
             "Figures of the router by name.",
@@ -38,6 +48,14 @@
         self.requests.inc({"route": route, "account": account, "outcome": outcome})
         self.duration_s.observe({"route": route}, took_s)
 
+    def count_service_request(self, service: str) -> None:
+        """Count a request that a caller sent for a service."""
+        self.service_requests.inc({"service": service})
+
+    def count_send(self, service: str, kind: str) -> None:
+        """Count a send by its kind: first, repeat or withheld."""
+        self.sends.inc({"service": service, "kind": kind})
+
     def set_state(self, name: str, value: float) -> None:
         """Set one of the router's figures."""
         self.gauges.set({"name": name}, value)
--- a/bronzesail/router/retry_budget.py
+++ b/bronzesail/router/retry_budget.py
@@ -41,6 +41,10 @@
         self._requests: deque[float] = deque()
         self._repeats: deque[float] = deque()
 
+    def count(self) -> tuple[int, int]:
+        """Return the requests and the repeats that count at the last `take`."""
+        return len(self._requests), len(self._repeats)
+
     def note_request(self) -> None:
         """Count a request's first send."""
         self._requests.append(self._now())
--- a/tests/test_router/test_retry_limit.py
+++ b/tests/test_router/test_retry_limit.py
@@ -76,3 +76,43 @@
             assert repeats <= RATIO * n_starts * n_requests + slack
 
     asyncio.run(run())
+
+
+async def read_metrics(router):
+    """Return the router's counters that carry a service, by name and labels."""
+    path = "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+    host, port = router.app.settings.ip, router.app.settings.internal_ports[0]
+    reader, writer = await asyncio.open_connection(host, port)
+    writer.write(path.encode())
+    text = (await reader.read()).decode()
+    writer.close()
+    pairs = [line.rsplit(" ", 1) for line in text.splitlines() if 'service="' in line]
+    return {name: float(value) for name, value in pairs}
+
+
+# Repeats at servers could not be compared with those that a router knows of.
+def test_counted_sends_are_the_arrivals_at_the_servers(tmp_path):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            deployment.store.put("op", "config", make_configuration())
+            await deployment.start_backend("p1", "app", answer_with_failure)
+            for number in range(N_REPLACED):
+                backend = await deployment.start_backend(
+                    f"old-{number}", "app", answer_plainly
+                )
+                backend.id = f"new-{number}"
+            bounds = f"retryBudgetRatio = {RATIO}\nbudgetSlack = {SLACK}"
+            router = await deployment.start_router("h1", bounds)
+            await wait_until(router.app.is_ready)
+            for _ in range(N_REQUESTS):
+                await deployment.send(router, "/look/1", method="GET")
+            counted = await read_metrics(router)
+            sends = 'bronzesail_sends_total{kind="%s",service="app"}'
+            repeats = count_repeats(deployment.backends)
+            arrivals = sum(len(backend.arrivals) for backend in deployment.backends)
+            assert counted.get(sends % "repeat", 0) == repeats
+            assert counted[sends % "first"] == arrivals - repeats
+            requests = 'bronzesail_service_requests_total{service="app"}'
+            assert counted[requests] == N_REQUESTS
+
+    asyncio.run(run())
