--- /dev/null
+++ b/tests/test_router/test_retry_fleet.py
@@ -0,0 +1,164 @@
+"""Retry limits of several routers together, held against the rule for the fleet."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+
+import attrs
+from hypothesis import given, settings, target
+from hypothesis import strategies as st
+
+from bronzesail.router.neighbourhood import KEEP_S, Neighbour, Neighbourhood
+from bronzesail.router.retry_budget import RetryBudget
+
+RATIO = 0.2
+WINDOW_S = 10.0
+SLACK = 52
+N_ROUTERS = 6
+
+
+@attrs.define
+class RouterModel:
+    """One router's limit; a restart forgets what the process knew."""
+
+    fleet: FleetModel
+    budget: RetryBudget = None
+
+    def start(self, slack_from):
+        self.budget = RetryBudget(lambda: self.fleet.now, WINDOW_S, slack_from)
+
+    def request(self, count=1):
+        for _ in range(count):
+            self.budget.note_request()
+            self.fleet.requests.append(self.fleet.now)
+
+    def repeat(self, count=1, hosts=N_ROUTERS):
+        """Send as many of `count` repeats as the limit allows."""
+        for _ in range(count):
+            if self.budget.take(RATIO, self.fleet.slack, hosts):
+                self.fleet.repeats.append(self.fleet.now)
+
+
+class FleetModel:
+    """Routers on one clock, and what a service gets from all of them."""
+
+    def __init__(self, slack=SLACK, n_routers=N_ROUTERS):
+        self.now = 1000.0
+        self.slack = slack
+        self.requests = []
+        self.repeats = []
+        self.routers = [RouterModel(self) for _ in range(n_routers)]
+        for router in self.routers:
+            router.start(self.now)
+
+    def find_excess(self):
+        """Return by how much the worst window is over what is allowed.
+
+        Windows that begin at a repeat or just after a request are the worst ones.
+        """
+        starts = {*self.repeats, *(at + 1e-6 for at in self.requests)}
+        return max((self._find_excess_from(start) for start in starts), default=0.0)
+
+    def _find_excess_from(self, start):
+        requests = max(
+            self._count(self.requests, start - back)
+            for back in (0.0, WINDOW_S / 2, WINDOW_S)
+        )
+        allowed = RATIO * requests + self.slack
+        return self._count(self.repeats, start) - allowed
+
+    @staticmethod
+    def _count(times, start):
+        return bisect_left(times, start + WINDOW_S) - bisect_left(times, start)
+
+
+# Each router counted 10 s back from each repeat; the rule counts in fixed windows.
+def test_two_bursts_six_seconds_apart_earn_no_excess_repeats():
+    fleet = FleetModel()
+    for pause_s in (6.0, 0.1):
+        for router in fleet.routers:
+            router.request(200)
+        fleet.now += pause_s
+    for router in fleet.routers:
+        router.repeat(200)
+    assert fleet.find_excess() <= 0
+
+
+# A new process did not know what its predecessor had spent of the ratio.
+def test_restarted_routers_do_not_spend_the_ratio_twice():
+    fleet = FleetModel()
+    for second in range(20):
+        if second == 10:
+            for router in fleet.routers:
+                router.repeat(1000)
+                router.start(fleet.now + WINDOW_S)
+        for router in fleet.routers:
+            router.request(100)
+        fleet.now += 1.0
+        if second == 18:
+            for router in fleet.routers:
+                router.repeat(1000)
+    assert fleet.find_excess() <= 0
+
+
+def make_neighbourhoods(fleet):
+    """Return what each router knows of the fleet after each has heard all others."""
+    names = [f"h{number}" for number in range(N_ROUTERS)]
+    known = {
+        name: Neighbourhood(name, "z1", 1000.0, lambda: fleet.now) for name in names
+    }
+    for name, neighbourhood in known.items():
+        for other in names:
+            if other == name:
+                continue
+            neighbourhood.note_hello(
+                Neighbour(
+                    host=other,
+                    zone="z1",
+                    address=("127.0.0.1", 1),
+                    link_mbps=1000.0,
+                    heard_at=fleet.now,
+                )
+            )
+    return list(known.values())
+
+
+# Routers that had not heard each other for 30 s took the whole slack each.
+def test_routers_cut_off_from_each_other_share_one_slack():
+    fleet = FleetModel()
+    neighbourhoods = make_neighbourhoods(fleet)
+    fleet.now += KEEP_S + 1.0
+    for router, neighbourhood in zip(fleet.routers, neighbourhoods, strict=True):
+        neighbourhood.forget_old()
+        router.repeat(200, neighbourhood.count_hosts())
+    assert fleet.find_excess() <= 0
+
+
+steps = st.lists(
+    st.tuples(
+        st.sampled_from(["request", "request", "repeat", "repeat", "restart"]),
+        st.sampled_from([None, 0]),  # One router, or all of them.
+        st.sampled_from([10, 300]),
+        st.sampled_from([0.0, 2.6, 5.1, 9.8]),
+    ),
+    min_size=5,
+    max_size=12,
+)
+
+
+@settings(max_examples=300)
+@given(steps, st.sampled_from([0, 52]))
+def test_no_sequence_of_starts_requests_and_repeats_exceeds_the_rule(steps, slack):
+    fleet = FleetModel(slack)
+    for action, number, count, pause_s in steps:
+        for router in fleet.routers if number is None else [fleet.routers[number]]:
+            if action == "request":
+                router.request(count)
+            elif action == "repeat":
+                router.repeat(count)
+            else:
+                router.start(fleet.now + WINDOW_S)
+        fleet.now += pause_s
+    excess = fleet.find_excess()
+    target(excess)
+    assert excess <= 0
--- a/tests/test_router/test_retry_limit.py
+++ b/tests/test_router/test_retry_limit.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 from tests.platform_standin import (
     Deployment,
@@ -78,6 +79,90 @@
     asyncio.run(run())
 
 
+# The first router of a fleet spent the whole slack before it knew of the others.
+def test_routers_that_start_one_by_one_share_one_slack(tmp_path):
+    slack, n_routers, n_requests = 30, 6, 18
+
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            deployment.store.put("op", "config", make_configuration())
+            for name in ("p1", "p2"):
+                await deployment.start_backend(name, "app", answer_with_failure)
+            bounds = f"retryBudgetRatio = {RATIO}\nbudgetSlack = {slack}"
+            for number in range(n_routers):
+                router = await deployment.start_router(f"h{number}", bounds)
+                await wait_until(router.app.is_ready)
+                for _ in range(n_requests):
+                    await deployment.send(router, "/look/1", method="GET")
+            repeats = count_repeats(deployment.backends)
+            assert repeats <= RATIO * n_routers * n_requests + slack
+
+    asyncio.run(run())
+
+
+# Requests from before a suspension still earned repeats: the steady clock stands.
+def test_requests_from_before_a_suspension_earn_no_repeats(tmp_path, monkeypatch):
+    suspended_s, n_before, n_after = 60.0, 60, 10
+    behave = answer_plainly
+    shift_s = 0.0
+    read_time = time.clock_gettime
+
+    async def answer(request, responder, headers):
+        await behave(request, responder, headers)
+
+    def read_shifted(clock):
+        return read_time(clock) + (shift_s if clock == time.CLOCK_BOOTTIME else 0.0)
+
+    async def run():
+        nonlocal behave, shift_s
+        async with Deployment(tmp_path) as deployment:
+            deployment.store.put("op", "config", make_configuration())
+            for name in ("p1", "p2"):
+                await deployment.start_backend(name, "app", answer)
+            bounds = f"retryBudgetRatio = {RATIO}\nbudgetSlack = 0"
+            router = await deployment.start_router("h1", bounds)
+            await wait_until(router.app.is_ready)
+            for _ in range(n_before):
+                await deployment.send(router, "/look/1", method="GET")
+            monkeypatch.setattr(time, "clock_gettime", read_shifted)
+            shift_s = suspended_s
+            behave = answer_with_failure
+            for _ in range(n_after):
+                await deployment.send(router, "/look/1", method="GET")
+            assert count_repeats(deployment.backends) <= RATIO * n_after
+
+    asyncio.run(run())
+
+
+# A request whose route changed while it waited was counted for both services.
+def test_a_request_is_counted_for_one_service_when_its_route_changes(tmp_path):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            configuration = make_configuration()
+            deployment.store.put("op", "config", configuration)
+            await deployment.start_backend("e1", "llm", answer_plainly)
+            router = await deployment.start_router("h1")
+            await wait_until(router.app.is_ready)
+            answer = asyncio.create_task(
+                deployment.send(router, "/look/1", method="GET")
+            )
+            waiting = router.app.line.count_waiting
+            await wait_until(lambda: waiting("app"))
+            for route in configuration["routes"]:
+                if route["name"] == "read":
+                    route["service"] = "llm"
+            deployment.store.put("op", "config", configuration | {"version": 2})
+            await wait_until(lambda: router.app.configuration.version == 2)
+            await deployment.start_backend("p1", "app", answer_plainly)
+            status, _, _ = await answer
+            assert status == 503
+            counted = await read_metrics(router)
+            requests = "bronzesail_service_requests_total"
+            assert sum(n for name, n in counted.items() if requests in name) == 1
+
+    asyncio.run(run())
+
+
 async def read_metrics(router):
     """Return the router's counters that carry a service, by name and labels."""
     path = "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
