router: limits of repeats add up over windows and over restarts

Callers saw: a service got more repeats than the rule allows, so that retries added to the load that made them necessary. Cause: each router compared the repeats of the last 10 s with the requests of the last 10 s. The rule counts both in windows that begin anywhere, and the requests in that window, half a window before it or a window before it. Two bursts 6 s apart are both in the router's span and in none of the rule's windows. A new process also began without the repeats of the one before it, while the requests since its start earned new ones, so that a restart could spend the ratio twice within a window. Class: limits kept by several parties, each on its own idea of the span, whose sum is not the limit. Ruled out: a lower share (0.7 and 0.6 before), which moves the case at which the sum is over and does not remove it. Change: each span of repeats is held to half the ratio times the requests from one window before the span to its end. The sum over routers and processes is then at most the mean of the rule's first two choices, which the larger of them is never below. Shares rise to 0.9 and 0.8; what they cover is the time between sending, reading and arrival.

--- a/bronzesail/router/retry_budget.py
+++ b/bronzesail/router/retry_budget.py
@@ -1,8 +1,15 @@
-"""Limits repeated sends of one service, as this router's share of the fleet's limit."""
+"""Limits repeated sends of one service, as this router's share of the fleet's limit.
+
+The fleet's limit counts the repeats in each window, and the requests in that window or
+in the one before it. Every span of repeats is held here to the mean of the requests of
+the two, which is never more than the larger one. Limits of this form add up: over
+routers, over processes of one host that follow each other, and over all windows.
+"""
 
 from __future__ import annotations
 
 import math
+from bisect import bisect_left
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -11,8 +18,9 @@
 
 __all__ = ["RetryBudget"]
 
-RATIO_SHARE = 0.7  # Of the ratio; requests are counted in windows that slide.
-SLACK_SHARE = 0.6  # Of the slack, shared by the routers; their number lags.
+RATIO_SHARE = 0.9  # Requests are read up to a second after they were sent.
+SLACK_SHARE = 0.8  # The others count a router that joins some seconds later.
+N_WINDOWS = 2  # Spans of requests that the mean is taken of.
 
 
 class RetryBudget:
@@ -42,12 +50,14 @@
         self._repeats: deque[float] = deque()
 
     def count(self) -> tuple[int, int]:
-        """Return the requests and the repeats that count at the last `take`."""
+        """Return the requests of two windows and the repeats of one."""
         return len(self._requests), len(self._repeats)
 
     def note_request(self) -> None:
         """Count a request's first send."""
-        self._requests.append(self._now())
+        now = self._now()
+        self._requests.append(now)
+        _drop_before(self._requests, now - N_WINDOWS * self._window_s)
 
     def take(self, ratio: float, slack: float, hosts: int | None) -> bool:
         """Count a repeat if there is room for it; tell whether there was.
@@ -55,13 +65,23 @@
         Without the number of `hosts` that share it, none of the slack is spent.
         """
         now = self._now()
-        for times in (self._requests, self._repeats):
-            while times and now - times[0] > self._window_s:
-                times.popleft()
-        room = ratio * RATIO_SHARE * len(self._requests)
+        _drop_before(self._requests, now - N_WINDOWS * self._window_s)
+        _drop_before(self._repeats, now - self._window_s)
+        share = 0.0
         if hosts is not None and now >= self._slack_from:
-            room += slack * SLACK_SHARE / max(hosts, 1)
-        if len(self._repeats) + 1 > room:
-            return False
+            share = slack * SLACK_SHARE / max(hosts, 1)
+        earned = ratio * RATIO_SHARE / N_WINDOWS
+        # A window that begins at a repeat is the narrowest one around it.
+        requests = list(self._requests)
+        starts = [*self._repeats, now]
+        for index, start in enumerate(starts):
+            n_requests = len(requests) - bisect_left(requests, start - self._window_s)
+            if len(starts) - index > earned * n_requests + share:
+                return False
         self._repeats.append(now)
         return True
+
+
+def _drop_before(times: deque[float], start: float) -> None:
+    while times and times[0] < start:
+        times.popleft()
