neighbourhood: a router keeps its share of the fleet's limits until its row is gone

Callers saw: nothing yet; a service would have got the slack once for each part of a fleet that is cut apart. Cause: a router of the own data centre that is unheard for 30 s was forgotten, and the slack is shared by the routers that are known. Behind a partition of 30 s each router took the whole slack. Class: limits kept by several parties whose sum is not the limit; here the parties did not agree on how many they are. Evidence: model, six routers that do not hear each other: 134 repeats over the rule (186 where 52 are allowed). While the store is away nothing ends. KEEP_S is longer than a window, so that what a leaving router has spent has left the window before its share is dealt out.

--- a/bronzesail/router/budget_keeper.py
+++ b/bronzesail/router/budget_keeper.py
@@ -207,8 +207,9 @@
                 continue
             holders[row.key] = (holder, row.version)
             self._on_holder(holder)
-        self._neighbourhood.note_rows_read()
-        self.host_count = max(1, len({holder.host for holder, _ in holders.values()}))
+        hosts = {holder.host for holder, _ in holders.values()}
+        self._neighbourhood.note_rows_read(hosts)
+        self.host_count = max(1, len(hosts))
         self.sharer_count = self.host_count
         if self._neighbourhood.is_large:
             self.sharer_count = self._neighbourhood.count_regions()
--- a/bronzesail/router/neighbourhood.py
+++ b/bronzesail/router/neighbourhood.py
@@ -18,7 +18,7 @@
 import attrs
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
 __all__ = ["Banker", "Neighbour", "Neighbourhood"]
 
@@ -89,6 +89,7 @@
         self._told: dict[str, tuple[float, dict[str, tuple[str, int]]]] = {}
         self._suspected_until: dict[str, float] = {}
         self._blind_since: float | None = None
+        self._sharers: dict[str, float] = {}  # When each router was last seen.
         self.has_read_rows = False
 
     @property
@@ -97,12 +98,23 @@
         return len(self._known) + 1 > SMALL_FLEET
 
     def count_hosts(self) -> int:
-        """Return how many routers are known, this one included."""
-        return len(self._known) + 1
+        """Return how many routers share the fleet's limits, this one included.
 
-    def note_rows_read(self) -> None:
-        """Take it that all routers' rows have been read since the start."""
+        Silence does not end a share, since a router that is cut off goes on sending.
+        """
+        return len(self._sharers.keys() | {self._host})
+
+    def note_rows_read(self, hosts: Iterable[str]) -> None:
+        """Take the hosts whose rows stand in the store.
+
+        Routers that neither have a row nor have been heard for a while are gone.
+        """
+        now = self._now()
         self.has_read_rows = True
+        self._sharers.update(dict.fromkeys(hosts, now))
+        for host, seen_at in list(self._sharers.items()):
+            if now - seen_at > KEEP_S:
+                del self._sharers[host]
 
     def note_row(
         self, host: str, zone: str, address: tuple[str, int], link_mbps: float
@@ -128,6 +140,7 @@
     ) -> None:
         """Take a router's news, and what a leader says of the data centres."""
         self._known[neighbour.host] = neighbour
+        self._sharers[neighbour.host] = neighbour.heard_at
         for zone, hosts in (hosts_by_zone or {}).items():
             if zone != self._zone:
                 self._told[zone] = (self._now(), hosts)
--- a/tests/test_router/test_neighbourhood.py
+++ b/tests/test_router/test_neighbourhood.py
@@ -6,6 +6,7 @@
 
 from bronzesail.router.neighbourhood import (
     BLIND_S,
+    KEEP_S,
     LIVE_S,
     SMALL_FLEET,
     SUSPECT_S,
@@ -223,3 +224,14 @@
         assert not fleet.views[banker.host].rank_bankers(account)
         assert banker.host.startswith("z3")
     assert fleet.views["z1-1"].count_regions() == 2
+
+
+def test_a_share_of_the_limits_ends_with_the_row_and_not_with_silence():
+    time = 0.0
+    view = Neighbourhood("h0", "z1", 100.0, lambda: time)
+    view.note_rows_read(["h0", "h1", "h2"])
+    time = KEEP_S + 1.0
+    view.forget_old()
+    assert view.count_hosts() == 3
+    view.note_rows_read(["h0", "h1"])
+    assert view.count_hosts() == 2
