router: no process spends slack of the retry budget in its first window, a fleet's first included

Callers saw: nothing yet; a service would have got up to the whole slack from each router that starts while it knows few others. Cause: a first start was trusted to know the fleet. A process reads the rows of the others before they have written theirs, so that the first took the whole slack, the second half of it, and so on. Class: as before, parties that do not agree on how many they are. Change: the exception for a first start is gone, with the setting behind it, which nothing else used. Test: test_routers_that_start_one_by_one_share_one_slack failed before.

--- a/bronzesail/model/_types.py
+++ b/bronzesail/model/_types.py
@@ -202,7 +202,6 @@
     store: StoreSettings
     memory_bytes: int
     link_mbps: float
-    is_first_start: bool
 
     @property
     def region(self) -> str:
--- a/bronzesail/platform/_settings.py
+++ b/bronzesail/platform/_settings.py
@@ -42,8 +42,6 @@
         store=_decode_store(read_map(fields, "platform")),
         memory_bytes=read_int(limits, "memoryMb", 300) * 1_000_000,
         link_mbps=float(read_int(limits, "linkMbps", 1000)),
-        # "bootstrap" is true only when the whole fleet starts for the first time.
-        is_first_start=fields.get("bootstrap") is True,
     )
 
 
--- a/bronzesail/router/retry_budget.py
+++ b/bronzesail/router/retry_budget.py
@@ -33,8 +33,9 @@
     window_s : float
         Length of the window.
     slack_from : float
-        When the router's share of the slack may first be spent. The process before
-        this one may have spent it in a window that has not ended yet.
+        When the router's share of the slack may first be spent: a window after the
+        start. The process before this one may have spent it, and a new fleet's
+        routers do not know of each other at once.
     """
 
     def __init__(
--- a/bronzesail/router/services.py
+++ b/bronzesail/router/services.py
@@ -59,8 +59,6 @@
         if budget is None:
             window_s = self.settings.bounds.retry_window_s
             slack_from = self.started_at + window_s
-            if self.settings.is_first_start:
-                slack_from = self.started_at
             budget = self._retry_budgets[service] = RetryBudget(
                 self.loop.time, window_s, slack_from
             )
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -363,7 +363,6 @@
         name,
         host,
         bounds="",
-        bootstrap=True,
         store=None,
         link_mbps=1000,
     ):
@@ -374,7 +373,6 @@
 ip = "{host.ip}"
 zone = "z1"
 region = "r1"
-bootstrap = {str(bootstrap).lower()}
 internalPorts = [{host.internal_port}, {host.internal_port}]
 seeds = []
 [zones]
@@ -393,11 +391,9 @@
 """)
         return path
 
-    async def start_router(
-        self, name, bounds="", bootstrap=True, store=None, link_mbps=1000
-    ):
+    async def start_router(self, name, bounds="", store=None, link_mbps=1000):
         host = RouterAddresses.choose()
-        path = self.write_settings(name, host, bounds, bootstrap, store, link_mbps)
+        path = self.write_settings(name, host, bounds, store, link_mbps)
         log = os.open(self._folder / f"{name}.log", os.O_CREAT | os.O_WRONLY)
         loop = asyncio.get_running_loop()
         app = Application(loop, str(path), read_clock(), log)
--- a/tests/router_soak.py
+++ b/tests/router_soak.py
@@ -163,9 +163,6 @@
         await wait_until(
             lambda: len(deployment.store.find("holders", "budget")) == n_rows
         )
-        for router in self.routers:
-            text = router.settings.read_text()
-            router.settings.write_text(text.replace("bootstrap = true", ""))
 
     def _make_configuration(self):
         configuration = make_configuration(version=self.version, prepaid=PREPAID)
--- a/tests/test_router/test_retry_limit.py
+++ b/tests/test_router/test_retry_limit.py
@@ -68,7 +68,7 @@
                 await deployment.start_backend(name, "app", answer_with_failure)
             bounds = f"retryBudgetRatio = {RATIO}\nbudgetSlack = {slack}"
             for _ in range(n_starts):
-                router = await deployment.start_router("h1", bounds, bootstrap=False)
+                router = await deployment.start_router("h1", bounds)
                 await wait_until(router.app.is_ready)
                 for _ in range(n_requests):
                     await deployment.send(router, "/look/1", method="GET")
