router: windows of the retry budget count the time of a suspended host

Callers saw: nothing yet; after a host was suspended its services could get repeats for requests of long ago. Cause: the windows ran on the loop's clock, which stands while the machine is suspended, so that 10 s on it covered more. Change: the budget reads the clock that the budgets of tokens read (CLOCK_BOOTTIME), and the process's start is taken on it too. Test: test_requests_from_before_a_suspension_earn_no_repeats failed before.

--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -158,7 +158,7 @@
         self.pool = ClientPool(loop)
         self.services = Services(
             loop=loop,
-            started_at=loop.time(),
+            started_at=self._started_at,
             log=self.log,
             metrics=Metrics(),
             settings=settings,
--- a/bronzesail/router/retry_budget.py
+++ b/bronzesail/router/retry_budget.py
@@ -29,7 +29,7 @@
     Parameters
     ----------
     now : callable
-        Seconds on a steady clock.
+        Seconds on a steady clock that counts suspended time too.
     window_s : float
         Length of the window.
     slack_from : float
--- a/bronzesail/router/services.py
+++ b/bronzesail/router/services.py
@@ -12,6 +12,7 @@
 from .budget import BudgetBook
 from .budget_desk import BudgetDesk
 from .client import ClientPool
+from .clocks import read_clock
 from .directory import Directory
 from .log import Log
 from .metrics import Metrics
@@ -36,7 +37,7 @@
     """The parts that answer requests, wired by the composition root."""
 
     loop: asyncio.AbstractEventLoop
-    started_at: float  # On the loop's clock.
+    started_at: float  # As `read_clock` has it.
     log: Log
     metrics: Metrics
     settings: HostSettings
@@ -60,7 +61,7 @@
             window_s = self.settings.bounds.retry_window_s
             slack_from = self.started_at + window_s
             budget = self._retry_budgets[service] = RetryBudget(
-                self.loop.time, window_s, slack_from
+                read_clock, window_s, slack_from
             )
         return budget
 
