request: one whose route changes while it waits is counted for one service

Callers saw: nothing yet; the retry budget of the new service counted a request that never came to it. Cause: the service was chosen anew, and the request counted with it, although the request is refused at that point and comes again as a new one. Evidence: one request, counted for two services. Change: a request is counted once, after its first choice; the choice that was thrown away is gone. Test: test_a_request_is_counted_for_one_service_when_its_route_changes failed before.

--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -150,6 +150,8 @@
         self._route = self._find_route(configuration)
         self._account = self._find_account(configuration)
         self._choose_service(configuration)
+        self._services.retry_budget(self._service).note_request()
+        self._services.metrics.count_service_request(self._service)
         await self._reserve()
         while True:
             if await self._send_once():
@@ -204,8 +206,6 @@
             self._account.name if self._account else "",
             self._request.body,
         )
-        self._services.retry_budget(self._service).note_request()
-        self._services.metrics.count_service_request(self._service)
 
     async def _reserve(self) -> None:
         assert self._head is not None
@@ -272,11 +272,9 @@
         route = self._find_route(configuration)
         self._find_account(configuration)
         if self._attempts == 0 and route is not self._route:
+            self._route = route
             if self._service not in [name for name, _ in route.services]:
-                self._route = route
-                self._choose_service(configuration)
                 raise self._fail(ResultCode.NO_BACKEND, retry_after_s=0.1)
-            self._route = route
         if self._limit_at - self._loop.time() < MIN_LEFT_S:
             raise self._fail(ResultCode.DEADLINE_PASSED)
 
