--- a/tests/test_router/test_retry_limit.py
+++ b/tests/test_router/test_retry_limit.py
@@ -189,8 +189,12 @@
             bounds = f"retryBudgetRatio = {RATIO}\nbudgetSlack = {SLACK}"
             router = await deployment.start_router("h1", bounds)
             await wait_until(router.app.is_ready)
-            for _ in range(N_REQUESTS):
-                await deployment.send(router, "/look/1", method="GET")
+            await asyncio.gather(
+                *(
+                    deployment.send(router, "/look/1", method="GET")
+                    for _ in range(N_REQUESTS)
+                )
+            )
             counted = await read_metrics(router)
             sends = 'bronzesail_sends_total{kind="%s",service="app"}'
             repeats = count_repeats(deployment.backends)
