caller: a line of a request that never ends is refused

Callers would have seen: a router that ends for lack of memory because one caller sends a header line without end. Chunk extensions and trailers were not counted at all. Change: bytes that the parser has told nothing of are held to the limit of a request's head.

--- a/bronzesail/router/caller.py
+++ b/bronzesail/router/caller.py
@@ -104,6 +104,7 @@
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._header_bytes = 0
+        self._unparsed_bytes = 0  # Since the parser told of a part of a request.
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._has_body = False
@@ -155,8 +156,10 @@
         """Parse what arrived."""
         if self._is_dead or self._must_close:
             return
+        self._unparsed_bytes += len(data)
         try:
             self._parser.feed_data(data)
+            self._check_unparsed()
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not self._is_dead and not self._must_close:
                 self._refuse(ResultCode.MALFORMED_REQUEST, str(error))
@@ -178,6 +181,7 @@
     def on_message_begin(self) -> None:
         """Start a request."""
         self._is_reading = True
+        self._unparsed_bytes = 0
         self._target = b""
         self._headers = []
         self._header_bytes = 0
@@ -194,6 +198,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take one header line."""
+        self._unparsed_bytes = 0
         self._headers.append((name, value))
         self._count_header(len(name) + len(value) + 4)
         lower = name.lower()
@@ -218,6 +223,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Take a piece of the body."""
+        self._unparsed_bytes = 0
         if self._must_close:
             return
         self._body_bytes += len(data)
@@ -250,6 +256,13 @@
             return
         self._start_next()
 
+    def _check_unparsed(self) -> None:
+        """Refuse a line that does not end; the parser tells of whole ones only."""
+        if not self._is_reading or self._must_close:
+            return
+        if self._unparsed_bytes > self._handler.get_limits().header_bytes:
+            self._refuse(ResultCode.HEADERS_TOO_LARGE, "")
+
     def _count_header(self, count: int) -> None:
         self._header_bytes += count
         if self._must_close:
--- a/tests/test_router/test_endless_answers.py
+++ b/tests/test_router/test_endless_answers.py
@@ -331,3 +331,35 @@
             assert (status, body) == (200, b"data: 1\n" * 2000 + b"\n")
 
     asyncio.run(run())
+
+
+# A caller's header line was counted when it was complete, and this one never is.
+@pytest.mark.parametrize(
+    "prefix",
+    [
+        b"GET /look/1 HTTP/1.1\r\nHost: x\r\nX-Filler: ",
+        b"POST /book/1 HTTP/1.1\r\nHost: x\r\n" + CHUNKED + b"1;x=",
+        b"POST /book/1 HTTP/1.1\r\nHost: x\r\n"
+        + CHUNKED
+        + b"1\r\nx\r\n0\r\nX-Filler: ",
+    ],
+    ids=["header", "chunk extension", "trailer"],
+)
+def test_an_endless_line_of_a_caller_is_refused(tmp_path, prefix):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            router = await start_settled_router(deployment)
+            sent_bytes = 0
+            reader, writer = await asyncio.open_connection(router.ip, router.port)
+            writer.write(prefix)
+            try:
+                while sent_bytes < CAP_BYTES:
+                    writer.write(PIECE)
+                    await writer.drain()
+                    sent_bytes += len(PIECE)
+            except ConnectionError:
+                pass
+            writer.close()
+            assert sent_bytes <= SOCKET_BYTES
+
+    asyncio.run(run())
