--- a/bronzesail/router/budget_keeper.py
+++ b/bronzesail/router/budget_keeper.py
@@ -197,7 +197,14 @@
         StoreError
             If the store does not answer.
         """
+        started_at = self.book.now()
         answer = await self._store.read_table(HOLDER_TABLE, PART)
+        self._log.write(
+            "budget: rows read",
+            rows=len(answer.rows),
+            bytes=sum(len(row.value) for row in answer.rows),
+            took_s=round(self.book.now() - started_at, 3),
+        )
         holders = {}
         for row in answer.rows:
             try:
