--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -177,6 +177,7 @@
         self.service = service
         self.requests = []
         self.misdirected = []
+        self.arrived_at = []  # Of each request that arrived, with its id.
         self._behave = behave
         self._server = HttpServer(self._answer)
 
@@ -204,7 +205,9 @@
         }
 
     async def _answer(self, request, responder):
-        headers = [("X-Attempt-Id", request.find_header("x-attempt-id"))]
+        name = request.find_header("x-attempt-id")
+        self.arrived_at.append((asyncio.get_running_loop().time(), name))
+        headers = [("X-Attempt-Id", name)]
         if request.find_header("x-expect-instance") != self.id:
             self.misdirected.append(request)
             await responder.start(421, (*headers, ("Content-Length", "0")))
--- a/tests/router_soak.py
+++ b/tests/router_soak.py
@@ -23,6 +23,7 @@
 import h11
 
 from bronzesail.router.neighbourhood import SMALL_FLEET
+from tests.endless_server import EndlessServer
 from tests.platform_standin import (
     HOST_NAME,
     KEY,
@@ -33,6 +34,7 @@
     stream_events,
     wait_until,
 )
+from tests.retry_rule import find_excess
 
 N_ROUTERS = 4
 N_CALLERS = 12
@@ -40,10 +42,12 @@
 PROMPT_TOKENS, OUTPUT_TOKENS = 40, 30
 PREPAID = 15_000  # Most seeds use it up.
 RATIO, SLACK, WINDOW_S = 0.2, 30, 10.0
-N_SERVICES = 2
 FAULTS_S = 8.0
+PATHS_BY_SERVICE = {"app": ("/book/", "/look/"), "llm": ("/chat/", "/talk/")}
 PATHS = ("/book/", "/look/", "/chat/", "/talk/")
 ONCE = ("/book/", "/chat/")
+SEAL = b"X-Server-Seal: s\r\nX-Attempt-Id: %b\r\n\r\n"
+ENDLESS = (("app", SEAL), ("llm", SEAL), ("app", b"X-Filler: "), ("llm", b"X-Filler: "))
 NOT_RUN = (408, 421, 429, 503)
 ROOT = Path(__file__).resolve().parent.parent
 
@@ -107,16 +111,17 @@
 class Soak:
     """One seed: a fleet, callers, faults, and the checks at the end."""
 
-    def __init__(self, folder, seed):
+    def __init__(self, folder, seed, n_routers=N_ROUTERS):
         self.random = random.Random(seed)
+        self.n_routers = n_routers
         self.n_others = SMALL_FLEET if seed % 3 == 0 else 0
         self.deployment = Deployment(folder)
         self.routers = []
         self.sent = []
         self.probes = collections.defaultdict(list)
+        self.probed_at = []
         self.version = 1
         self.replaced = 0
-        self._started_at = 0.0
         self._ids = itertools.count(1)
         self._is_over = False
 
@@ -140,7 +145,6 @@
         return self._check()
 
     async def _start(self):
-        self._started_at = self._now()
         deployment = self.deployment
         deployment.add_rows_of_other_hosts(self.n_others)
         deployment.store.put("op", "config", self._make_configuration())
@@ -151,7 +155,7 @@
         for number in range(4):
             await deployment.start_backend(f"p{number}", "app", answer_plainly)
         bounds = f"retryBudgetRatio = {RATIO}\nbudgetSlack = {SLACK}"
-        for number in range(N_ROUTERS):
+        for number in range(self.n_routers):
             name, addresses = f"h{number}", RouterAddresses.choose()
             link = await deployment.open_store_link()
             path = deployment.write_settings(
@@ -159,7 +163,7 @@
             )
             self.routers.append(RouterProcess(name, addresses, path, link))
         await asyncio.gather(*(router.start() for router in self.routers))
-        n_rows = N_ROUTERS + self.n_others
+        n_rows = self.n_routers + self.n_others
         await wait_until(
             lambda: len(deployment.store.find("holders", "budget")) == n_rows
         )
@@ -223,6 +227,7 @@
             version = self.random.randrange(1, self.version + 1)
             start = router.starts
             path = f"/v{version}/"
+            self.probed_at.append(self._now())
             try:
                 async with asyncio.timeout(2.0):
                     reader, writer = await asyncio.open_connection(
@@ -253,6 +258,7 @@
             self._replace_server,
             self._drain_server,
             self._change_configuration,
+            self._send_without_end,
         )
         until = self._now() + FAULTS_S
         running = []
@@ -302,6 +308,19 @@
         if backend.id == name:
             self.deployment.store.put("servers", name, backend.make_entry())
 
+    async def _send_without_end(self):
+        """Let a server that answers without end take requests for a while."""
+        service, body = self.random.choice(ENDLESS)
+        server = EndlessServer(b"HTTP/1.1 200 OK\r\n" + body, b"x" * 65_536)
+        host, port = await server.start()
+        entry = self.deployment.backends[0].make_entry()
+        entry |= {"service": service, "address": f"{host}:{port}"}
+        name = f"endless-{port}"
+        self.deployment.store.put("servers", name, entry)
+        await asyncio.sleep(self.random.uniform(0.5, 2.0))
+        self.deployment.store.remove("servers", name)
+        server.close()
+
     async def _change_configuration(self):
         self.version += 1
         self.deployment.store.put("op", "config", self._make_configuration())
@@ -318,26 +337,41 @@
     # Checks.
 
     def _check(self):
-        runs, arrivals = collections.Counter(), []
+        runs = collections.Counter()
         for backend in self.deployment.backends:
             runs.update(r.find_header("x-attempt-id") for r in backend.requests)
-            arrivals += backend.arrivals
         broken = []
         for sent in self.sent:
             broken += self._check_request(sent, runs[sent.id])
         for key, versions in self.probes.items():
             if versions != sorted(versions):
                 broken.append(f"{key} went back to an older configuration")
-        repeats = len(arrivals) - len(set(arrivals))
-        n_requests = next(self._ids) - 1
-        n_windows = (self._now() - self._started_at) // WINDOW_S + 1
-        if repeats > RATIO * n_requests + N_SERVICES * SLACK * n_windows:
-            broken.append(f"{repeats} repeats of {n_requests} requests")
+        for service, paths in PATHS_BY_SERVICE.items():
+            excess = self._find_excess_repeats(service, paths)
+            if excess > 0:
+                broken.append(f"{service} got {excess} repeats more than allowed")
         spent = sum(self._count_spent(sent) for sent in self.sent)
         if spent > PREPAID:
             broken.append(f"{spent} tokens spent of {PREPAID}")
         return broken
 
+    def _find_excess_repeats(self, service, paths):
+        requests = [sent.at for sent in self.sent if sent.path in paths]
+        if service == "app":
+            requests = sorted(requests + self.probed_at)
+        arrivals = sorted(
+            arrival
+            for backend in self.deployment.backends
+            if backend.service == service
+            for arrival in backend.arrived_at
+        )
+        seen, repeats = set(), []
+        for at, name in arrivals:
+            if name in seen:
+                repeats.append(at)
+            seen.add(name)
+        return find_excess(requests, repeats, RATIO, SLACK, WINDOW_S)
+
     @staticmethod
     def _check_request(sent, n_runs):
         if sent.path in ONCE and n_runs > 1:
@@ -387,9 +421,9 @@
             return status, None, False
 
 
-async def play_seed(seed, folder):
+async def play_seed(seed, folder, n_routers=N_ROUTERS):
     """Play one seed; return what it broke and a line of figures."""
-    soak = Soak(Path(folder), seed)
+    soak = Soak(Path(folder), seed, n_routers)
     broken = await soak.run()
     statuses = collections.Counter(sent.status for sent in soak.sent)
     starts = sum(router.starts for router in soak.routers)
@@ -401,6 +435,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=50)
+    parser.add_argument("--routers", type=int, default=N_ROUTERS)
     parser.add_argument("--keep", help="folder for settings and logs of each seed")
     arguments = parser.parse_args()
     n_failed = 0
@@ -409,7 +444,7 @@
             if arguments.keep:
                 folder = Path(arguments.keep) / str(seed)
                 folder.mkdir(parents=True)
-            broken, figures = asyncio.run(play_seed(seed, folder))
+            broken, figures = asyncio.run(play_seed(seed, folder, arguments.routers))
         n_failed += bool(broken)
         print(f"seed {seed}: {figures}", *broken[:5], sep="\n  ", flush=True)
     print(f"{arguments.seeds} seeds, {n_failed} with a promise broken")
--- a/tests/test_router/test_endless_answers.py
+++ b/tests/test_router/test_endless_answers.py
@@ -17,6 +17,7 @@
 from bronzesail.router.peers import Hello, Peer
 from bronzesail.router.relay import MAX_COLLECTED_BYTES, MAX_EVENT_BYTES
 from bronzesail.router.store import StoreClient, StoreError
+from tests.endless_server import CAP_BYTES, EndlessServer
 from tests.platform_standin import (
     WAIT_TIMEOUT_S,
     Deployment,
@@ -28,7 +29,6 @@
 
 PIECE = b"x" * 65_536
 SOCKET_BYTES = 8_388_608  # Of both ends' buffers, which the sender fills unread.
-CAP_BYTES = 67_108_864  # The stand-in gives up; a test that gets here has failed.
 SEAL = b"X-Server-Seal: s\r\nX-Attempt-Id: %b\r\n"
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
@@ -51,50 +51,6 @@
 ALL = HEADS | FRAMES | BODIES
 
 
-class EndlessServer:
-    """Answers each request with a prefix and then with one piece for ever."""
-
-    def __init__(self, prefix, piece):
-        self.sent_bytes = 0
-        self.open = 0
-        self._prefix = prefix
-        self._piece = piece
-
-    async def start(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return self._server.sockets[0].getsockname()
-
-    def close(self):
-        self._server.close()
-
-    async def _serve(self, reader, writer):
-        self.open += 1
-        try:
-            head = await reader.readuntil(b"\r\n\r\n")
-            prefix = self._prefix
-            if b"%b" in prefix:
-                prefix %= find_request_id(head)
-            writer.write(prefix)
-            for _ in range(CAP_BYTES // len(self._piece)):
-                writer.write(self._piece)
-                await writer.drain()
-                self.sent_bytes += len(self._piece)
-        except (ConnectionError, asyncio.IncompleteReadError):
-            pass
-        finally:
-            self.open -= 1
-            writer.close()
-
-
-def find_request_id(head):
-    """Return the id of the request that `head` begins."""
-    for line in head.split(b"\r\n"):
-        name, _, value = line.partition(b": ")
-        if name.lower() == b"x-attempt-id":
-            return value
-    return b"none"
-
-
 @pytest.fixture(params=ALL.values(), ids=list(ALL))
 def endless(request):
     return EndlessServer(*request.param)
--- a/tests/test_router/test_retry_fleet.py
+++ b/tests/test_router/test_retry_fleet.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left
-
 import attrs
 from hypothesis import given, settings, target
 from hypothesis import strategies as st
 
 from bronzesail.router.neighbourhood import KEEP_S, Neighbour, Neighbourhood
 from bronzesail.router.retry_budget import RetryBudget
+from tests.retry_rule import find_excess
 
 RATIO = 0.2
 WINDOW_S = 10.0
@@ -52,24 +51,8 @@
             router.start(self.now)
 
     def find_excess(self):
-        """Return by how much the worst window is over what is allowed.
-
-        Windows that begin at a repeat or just after a request are the worst ones.
-        """
-        starts = {*self.repeats, *(at + 1e-6 for at in self.requests)}
-        return max((self._find_excess_from(start) for start in starts), default=0.0)
-
-    def _find_excess_from(self, start):
-        requests = max(
-            self._count(self.requests, start - back)
-            for back in (0.0, WINDOW_S / 2, WINDOW_S)
-        )
-        allowed = RATIO * requests + self.slack
-        return self._count(self.repeats, start) - allowed
-
-    @staticmethod
-    def _count(times, start):
-        return bisect_left(times, start + WINDOW_S) - bisect_left(times, start)
+        """Return by how much the worst window is over what is allowed."""
+        return find_excess(self.requests, self.repeats, RATIO, self.slack, WINDOW_S)
 
 
 # Each router counted 10 s back from each repeat; the rule counts in fixed windows.
--- a/tests/test_router/test_retry_limit.py
+++ b/tests/test_router/test_retry_limit.py
@@ -24,17 +24,20 @@
     return len(arrivals) - len(set(arrivals))
 
 
+async def start_replaced_servers(deployment):
+    """Start servers whose entries in the store have the ids of their predecessors."""
+    for number in range(N_REPLACED):
+        backend = await deployment.start_backend(f"old-{number}", "app", answer_plainly)
+        backend.id = f"new-{number}"
+
+
 # Servers that restarted under new ids while their old entries still stood.
 def test_resends_after_421_stay_within_the_retry_limit(tmp_path):
     async def run():
         async with Deployment(tmp_path) as deployment:
             deployment.store.put("op", "config", make_configuration())
             await deployment.start_backend("p1", "app", answer_plainly)
-            for number in range(N_REPLACED):
-                backend = await deployment.start_backend(
-                    f"old-{number}", "app", answer_plainly
-                )
-                backend.id = f"new-{number}"
+            await start_replaced_servers(deployment)
             bounds = f"retryBudgetRatio = {RATIO}\nbudgetSlack = {SLACK}"
             router = await deployment.start_router("h1", bounds)
             await wait_until(router.app.is_ready)
@@ -100,6 +103,30 @@
     asyncio.run(run())
 
 
+# As above, without sockets in the way of what is checked.
+def test_a_new_process_spends_no_slack_in_its_first_window(tmp_path, monkeypatch):
+    read_time = time.clock_gettime
+    shift_s = 0.0
+
+    async def run():
+        nonlocal shift_s
+        async with Deployment(tmp_path) as deployment:
+            deployment.store.put("op", "config", make_configuration())
+            router = await deployment.start_router("h1")
+            services = router.app.services
+            await wait_until(lambda: services.count_hosts() == 1)
+            budget = services.retry_budget("app")
+            window_s = services.settings.bounds.retry_window_s
+            monkeypatch.setattr(
+                time, "clock_gettime", lambda clock: read_time(clock) + shift_s
+            )
+            assert not budget.take(RATIO, SLACK, services.count_hosts())
+            shift_s = window_s
+            assert budget.take(RATIO, SLACK, services.count_hosts())
+
+    asyncio.run(run())
+
+
 # Requests from before a suspension still earned repeats: the steady clock stands.
 def test_requests_from_before_a_suspension_earn_no_repeats(tmp_path, monkeypatch):
     suspended_s, n_before, n_after = 60.0, 60, 10
@@ -181,11 +208,7 @@
         async with Deployment(tmp_path) as deployment:
             deployment.store.put("op", "config", make_configuration())
             await deployment.start_backend("p1", "app", answer_with_failure)
-            for number in range(N_REPLACED):
-                backend = await deployment.start_backend(
-                    f"old-{number}", "app", answer_plainly
-                )
-                backend.id = f"new-{number}"
+            await start_replaced_servers(deployment)
             bounds = f"retryBudgetRatio = {RATIO}\nbudgetSlack = {SLACK}"
             router = await deployment.start_router("h1", bounds)
             await wait_until(router.app.is_ready)
