--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -48,6 +48,11 @@
     "tests/test_router/test_budget.py tests/test_router/test_budget_machine.py"
 )
 
+RETRY_TESTS = (
+    "tests/test_router/test_retry_fleet.py tests/test_router/test_retry_limit.py"
+)
+ENDLESS_TESTS = "tests/test_router/test_endless_answers.py"
+
 MUTANTS = (
     Mutant(
         "a claim of another router counts as the own one",
@@ -237,6 +242,83 @@
         "        checks = [RowCheck(own, attempt.base_version)]",
         ROUTER_BUDGET_TESTS,
     ),
+    Mutant(
+        "repeats are compared with the requests of one window",
+        "bronzesail/router/retry_budget.py",
+        "bisect_left(requests, start - self._window_s)",
+        "0",
+        RETRY_TESTS,
+    ),
+    Mutant(
+        "only the last repeat is held to the limit",
+        "bronzesail/router/retry_budget.py",
+        "starts = [*self._repeats, now]",
+        "starts = [now]",
+        RETRY_TESTS,
+    ),
+    Mutant(
+        "a new process spends its slack at once",
+        "bronzesail/router/services.py",
+        "slack_from = self.started_at + window_s",
+        "slack_from = self.started_at",
+        RETRY_TESTS,
+    ),
+    Mutant(
+        "windows of repeats stand still while a host is suspended",
+        "bronzesail/router/services.py",
+        "                read_clock, window_s",
+        "                self.loop.time, window_s",
+        RETRY_TESTS,
+    ),
+    Mutant(
+        "a silent router loses its share of the slack",
+        "bronzesail/router/neighbourhood.py",
+        "return len(self._sharers.keys() | {self._host})",
+        "return len(self._list_live()) + 1",
+        f"{RETRY_TESTS} tests/test_router/test_neighbourhood.py",
+    ),
+    Mutant(
+        "the head of an answer has no end",
+        "bronzesail/router/client.py",
+        "self._framing_bytes > MAX_FRAMING_BYTES",
+        "False",
+        ENDLESS_TESTS,
+    ),
+    Mutant(
+        "a call reads a body without end",
+        "bronzesail/router/client.py",
+        "self._body_bytes > MAX_CALL_BYTES",
+        "False",
+        ENDLESS_TESTS,
+    ),
+    Mutant(
+        "a call waits for drops without end",
+        "bronzesail/router/client.py",
+        "min(self._heard_at + TRANSFER_SILENCE_S, last)",
+        "self._heard_at + TRANSFER_SILENCE_S",
+        ENDLESS_TESTS,
+    ),
+    Mutant(
+        "an event has no end",
+        "bronzesail/router/relay.py",
+        "len(self._pending) > MAX_EVENT_BYTES",
+        "False",
+        ENDLESS_TESTS,
+    ),
+    Mutant(
+        "answers in progress share no limit",
+        "bronzesail/router/answer_memory.py",
+        "self.held_bytes > self.limit_bytes",
+        "False",
+        ENDLESS_TESTS,
+    ),
+    Mutant(
+        "a caller's line has no end",
+        "bronzesail/router/caller.py",
+        "self._unparsed_bytes > self._handler",
+        "0 > self._handler",
+        ENDLESS_TESTS,
+    ),
 )
 
 
