router: a hello fits into one packet; whole state is read separately

Cause: a hello listed every crash known of the fleet, and a leader's listed the routers of all data centres (6.6 KB with 195).

Change: a hello carries the crash counts that rose last, the accounts with most free tokens and digests. A router whose own state has another digest reads the whole of it from the sender: /crashes, and /hosts/ZONE for the lists of leaders, each at most once a second.

Crash counts are kept by process instead of host, with their age. Before, a restarted process began at 0 under its host's name and the others ignored it up to the old count; and a router that heard of a count late brought it back at the others after it had expired there (seen with the old class: still poison 61 s after the crash).

Ruled out: sending the lists in turn, a part a hello; all counts after a crash of engines would take minutes to arrive.

New: the hello of a leader of 6 x 33 routers with 40 accounts, 500 counts at three routers, a changed list of hosts.

--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -24,10 +24,17 @@
 from .exchange import Exchange
 from .internal_http import METRICS_PATH, start_internal_server
 from .log import Log
+from .messages import (
+    MAX_HELLO_CRASHES,
+    Hello,
+    parse_address,
+    select_crashes,
+    select_free,
+)
 from .metrics import Metrics
 from .neighbourhood import Neighbourhood
 from .peer_sync import PeerSync
-from .peers import Hello, Peer, Peers, parse_address
+from .peers import Peer, Peers
 from .placement import Placement
 from .poison import PoisonList
 from .reservation_queue import ReservationQueue
@@ -137,6 +144,7 @@
             settings.link_mbps,
             loop.time,
             settings.region_by_zone,
+            self._internal_address,
         )
         self.book = BudgetBook(
             settings.host, address, read_clock, settings.zone, settings.link_mbps
@@ -152,7 +160,7 @@
             self._random,
             self._started_at,
         )
-        self.poison = PoisonList(loop.time)
+        self.poison = PoisonList(loop.time, self.incarnation)
         self.peers = Peers(
             loop,
             self.book,
@@ -200,6 +208,7 @@
             self.neighbourhood,
             lambda: self.is_following_store,
             self._apply_directory,
+            self.poison,
         )
         self._server_watch = ServerWatch(
             self.store,
@@ -467,7 +476,7 @@
     def _make_hello(self) -> Hello:
         """Return the state of this router that its peers need."""
         spendable = {
-            account: self.book.count_spendable(account)
+            account: max(0, self.book.count_spendable(account))
             for account in self.book.holdings
         }
         return Hello(
@@ -476,8 +485,9 @@
             address=f"{self._internal_address[0]}:{self._internal_address[1]}",
             config_version=self.configuration.version,
             holder_key=self._holder_key,
-            free={account: count for account, count in spendable.items() if count > 0},
-            suspects=self.poison.export(self.settings.host),
+            free=select_free(spendable),
+            crashes=select_crashes(self.poison.export(MAX_HELLO_CRASHES)),
+            crash_digest=self.poison.digest,
             zone=self.settings.zone,
             link_mbps=self.settings.link_mbps,
             is_leaving=self.is_draining,
@@ -491,11 +501,7 @@
         )
 
     def _process_hello(self, peer: Peer) -> None:
-        """Merge a peer's crash counts and fetch what it has in a newer version."""
-        hello = peer.hello
-        for host, counts in hello.suspects.items():
-            if host != self.settings.host:
-                self.poison.merge_counts(host, counts)
+        """Fetch what a peer has in a newer version."""
         self.news.fetch_newer(peer)
 
     # Periodic work.
--- a/bronzesail/router/internal_http.py
+++ b/bronzesail/router/internal_http.py
@@ -13,7 +13,9 @@
 
 __all__ = [
     "CONFIGURATION_PATH",
+    "CRASHES_PATH",
     "DIRECTORY_PATH",
+    "HOSTS_PATH",
     "MAX_REQUEST_BYTES",
     "METRICS_PATH",
     "PACKED_CONFIGURATION_PATH",
@@ -24,6 +26,8 @@
 CONFIGURATION_PATH = "/configuration"
 PACKED_CONFIGURATION_PATH = "/configuration.zlib"
 DIRECTORY_PATH = "/directory"
+CRASHES_PATH = "/crashes"
+HOSTS_PATH = "/hosts/"  # Followed by the name of a data centre.
 METRICS_PATH = "/metrics"
 MAX_REQUEST_BYTES = 8192  # Routers and the platform send a few hundred bytes.
 # Clients that keep a connection send a request every second.
--- /dev/null
+++ b/bronzesail/router/messages.py
@@ -0,0 +1,146 @@
+"""Datagrams that routers send to each other.
+
+A hello fits into one packet whatever the size of the fleet, since links drop the
+fragments of larger datagrams first. It contains recent changes and digests; a router
+whose own state has another digest reads the whole state from the sender (`PeerSync`).
+"""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING, TypeVar
+
+import msgspec
+
+from .poison import CrashCount  # noqa: TC001  Decoded at run time.
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+__all__ = [
+    "MAX_HELLO_CRASHES",
+    "PACKET_BYTES",
+    "Hello",
+    "TokenRequest",
+    "TokenTransfer",
+    "TransferConfirmation",
+    "compute_hosts_digest",
+    "parse_address",
+    "select_crashes",
+    "select_free",
+]
+
+PACKET_BYTES = 1472  # Payload of a UDP datagram on Ethernet, unfragmented.
+# Shares of a packet for the lists of a hello; its other fields take up to 400 bytes.
+MAX_CRASH_BYTES = 300
+MAX_FREE_BYTES = 300
+MAX_HELLO_CRASHES = 10
+
+T = TypeVar("T")
+
+
+class Hello(msgspec.Struct, tag="hello"):
+    """Periodic message in which a router announces itself and its state."""
+
+    host: str
+    incarnation: str
+    address: str
+    config_version: int
+    holder_key: str
+    # Free tokens of the accounts with most of them.
+    free: dict[str, int]
+    crashes: list[CrashCount] = []  # Those that rose last.
+    crash_digest: int = 0  # `PoisonList.digest`.
+    zone: str = ""
+    link_mbps: float = 0.0
+    is_leaving: bool = False
+    is_in_step: bool = False
+    has_lost_store: bool = False
+    store_latency_s: float | None = None  # None if not known yet.
+    # Versions of the store up to which configuration and directory are complete.
+    config_store_version: int = 0
+    directory_store_version: int = 0
+    directory: str = ""  # Identifies the directory's state; differs after a change.
+    # Digests of the live routers by data centre, sent by leaders only.
+    host_lists: dict[str, int] = {}
+
+
+class TokenRequest(msgspec.Struct, tag="ask"):
+    """Request for at least `least` and at most `want` tokens of an account."""
+
+    id: str
+    account: str
+    want: int
+    least: int = 1
+    # Sent to the account's banker, which may refill from the store before replying.
+    is_banked: bool = False
+
+
+class TokenTransfer(msgspec.Struct, tag="gift"):
+    """Transfer of tokens: the reply to the request with id `ask`.
+
+    If `ask` is empty, nothing was requested and the receiver confirms the transfer.
+    """
+
+    id: str
+    ask: str
+    account: str
+    tokens: int
+    is_leftover: bool = False  # Requested before and returned unused.
+    lack: int = 0  # Result code why as many tokens cannot be had now, 0 if they may be.
+    kept: int = 0  # Tokens that the sender still has unspent.
+
+
+class TransferConfirmation(msgspec.Struct, tag="taken"):
+    """Confirms the receipt of a transfer that was not requested."""
+
+    id: str
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Parse ``IP:PORT`` into IP address and port.
+
+    >>> parse_address("10.0.0.1:80")
+    ('10.0.0.1', 80)
+    """
+    ip, _, port = text.rpartition(":")
+    return ip, int(port)
+
+
+def compute_hosts_digest(hosts: dict[str, tuple[str, int]]) -> int:
+    """Return a digest of hosts with their addresses, in any order."""
+    digest = hashlib.blake2b(digest_size=8)
+    for host, (ip, port) in sorted(hosts.items()):
+        digest.update(f"{host}\0{ip}:{port}\0".encode())
+    return int.from_bytes(digest.digest(), "big")
+
+
+def select_free(tokens_by_account: dict[str, int]) -> dict[str, int]:
+    """Return the accounts with most tokens, as many as a hello has room for."""
+    most_first = sorted(
+        ((account, tokens) for account, tokens in tokens_by_account.items() if tokens),
+        key=lambda item: -item[1],
+    )
+    return dict(_take_within(most_first, MAX_FREE_BYTES, lambda item: len(item[0]) + 7))
+
+
+def select_crashes(newest_first: Iterable[CrashCount]) -> list[CrashCount]:
+    """Return the newest crash counts, as many as a hello has room for."""
+    return _take_within(
+        newest_first,
+        MAX_CRASH_BYTES,
+        lambda count: len(count.origin) + len(count.fingerprint) + 17,
+    )
+
+
+def _take_within(
+    items: Iterable[T], max_bytes: int, measure: Callable[[T], int]
+) -> list[T]:
+    """Return the first items whose encoded sizes add up to at most `max_bytes`."""
+    taken = []
+    for item in items:
+        max_bytes -= measure(item)
+        if max_bytes < 0:
+            break
+        taken.append(item)
+    return taken
--- a/bronzesail/router/neighbourhood.py
+++ b/bronzesail/router/neighbourhood.py
@@ -20,6 +20,8 @@
 
 import attrs
 
+from .messages import compute_hosts_digest
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
@@ -90,6 +92,15 @@
     store_latency_s: float | None = None
 
 
+@attrs.define
+class _ZoneReport:
+    """A leader's list of the live routers of its data centre."""
+
+    hosts: dict[str, tuple[str, int]]
+    digest: int
+    reported_at: float  # When the list, or a hello with its digest, arrived.
+
+
 class Neighbourhood:
     """One router's view of the fleet, and the roles that follow from it.
 
@@ -103,6 +114,8 @@
         Returns the seconds of a monotonic clock.
     region_by_zone : dict, optional
         Region of each data centre; all are in one region by default.
+    address : (str, int), optional
+        Where this router receives datagrams and requests of other routers.
     """
 
     def __init__(
@@ -112,14 +125,16 @@
         link_mbps: float,
         now: Callable[[], float],
         region_by_zone: dict[str, str] | None = None,
+        address: tuple[str, int] = ("", 0),
     ) -> None:
-        self._host = host
+        self.host = host
+        self._address = address
         self._zone = zone
         self._link_mbps = link_mbps
         self._now = now
         self._neighbours: dict[str, Neighbour] = {}
         self._region_by_zone = region_by_zone or {}
-        self._zone_reports: dict[str, tuple[float, dict[str, tuple[str, int]]]] = {}
+        self._zone_reports: dict[str, _ZoneReport] = {}
         self._suspected_until: dict[str, float] = {}
         self._no_follower_since: float | None = None
         self._last_seen_at: dict[str, float] = {}  # By a row or a hello.
@@ -136,7 +151,7 @@
         A silent router keeps its share, since it may be partitioned from this one and
         still send retries.
         """
-        return len(self._last_seen_at.keys() | {self._host})
+        return len(self._last_seen_at.keys() | {self.host})
 
     def note_rows_read(self, hosts: Iterable[str]) -> None:
         """Update the routers that share the limits from the rows in the store.
@@ -158,7 +173,7 @@
 
         A new router, or one with a new address, counts as live without a hello.
         """
-        if host == self._host:
+        if host == self.host:
             return
         known = self._neighbours.get(host)
         if known is not None and known.address == address:
@@ -171,26 +186,32 @@
             heard_at=self._now(),
         )
 
-    def note_hello(
-        self,
-        neighbour: Neighbour,
-        hosts_by_zone: dict[str, dict[str, tuple[str, int]]] | None = None,
-    ) -> None:
-        """Record a router's hello.
-
-        Parameters
-        ----------
-        neighbour : Neighbour
-            The sender.
-        hosts_by_zone : dict, optional
-            Live routers of each data centre with their addresses, as a leader reports
-            them.
-        """
+    def note_hello(self, neighbour: Neighbour) -> None:
+        """Record a router's hello."""
         self._neighbours[neighbour.host] = neighbour
         self._last_seen_at[neighbour.host] = neighbour.heard_at
-        for zone, hosts in (hosts_by_zone or {}).items():
-            if zone != self._zone:
-                self._zone_reports[zone] = (self._now(), hosts)
+
+    def note_zone_hosts(self, zone: str, hosts: dict[str, tuple[str, int]]) -> None:
+        """Record a leader's list of the live routers of another data centre."""
+        if zone != self._zone:
+            digest = compute_hosts_digest(hosts)
+            self._zone_reports[zone] = _ZoneReport(hosts, digest, self._now())
+
+    def confirm_zone_hosts(self, zone: str, digest: int) -> bool:
+        """Compare the list of a data centre's routers with a leader's digest.
+
+        Returns
+        -------
+        bool
+            False if the list that is known here differs, and must be read.
+        """
+        if zone == self._zone:
+            return True
+        known = self._zone_reports.get(zone)
+        if known is None or known.digest != digest:
+            return False
+        known.reported_at = self._now()
+        return True
 
     def forget_old(self) -> None:
         """Forget routers of this data centre that were silent for `FORGET_AFTER_S`."""
@@ -288,7 +309,7 @@
 
     def _list_higher_ranked(self) -> list[Neighbour]:
         """Return the live routers of the data centre that rank above this one."""
-        own = self._rank_leader(self._host, self._link_mbps)
+        own = self._rank_leader(self.host, self._link_mbps)
         return [known for known in self._list_live() if self._rank(known) > own]
 
     def rank_allocators(self, account: str) -> list[Allocator]:
@@ -299,7 +320,7 @@
         """
         if not self.is_large:
             return []
-        own = _rank(account, self._host)
+        own = _rank(account, self.host)
         ranked = [
             (rank, host, address)
             for host, address in self._list_region().items()
@@ -325,11 +346,17 @@
         """Return the live routers of the other data centres, as reported by leaders."""
         now = self._now()
         return {
-            zone: hosts
-            for zone, (reported_at, hosts) in self._zone_reports.items()
-            if now - reported_at < ZONE_REPORT_TTL_S
+            zone: report.hosts
+            for zone, report in self._zone_reports.items()
+            if now - report.reported_at < ZONE_REPORT_TTL_S
         }
 
+    def list_hosts(self, zone: str) -> dict[str, tuple[str, int]]:
+        """Return the live routers of a data centre as far as they are known here."""
+        if zone != self._zone:
+            return self.list_other_zones().get(zone, {})
+        return {**self.list_zone_hosts(), self.host: self._address}
+
     def count_regions(self) -> int:
         """Return the number of regions with known routers."""
         zones = {known.zone for known in self._neighbours.values()} | {self._zone}
--- a/bronzesail/router/peer_sync.py
+++ b/bronzesail/router/peer_sync.py
@@ -1,12 +1,15 @@
-"""Synchronizes the configuration and the directory with other routers.
+"""Reads from other routers what their hellos announce and this router does not have.
 
 Configurations come from any peer that has a newer one, often before the store delivers
 them. The directory comes from the router of the data centre that follows the store,
-if this router does not follow it.
+if this router does not follow it. Crash counts come from any peer that has others, and
+the routers of other data centres from a leader.
 """
 
 from __future__ import annotations
 
+import functools
+import math
 import zlib
 from typing import TYPE_CHECKING
 
@@ -14,7 +17,15 @@
 
 from .client import Call, ConnectError
 from .directory import Listing
-from .internal_http import CONFIGURATION_PATH, DIRECTORY_PATH, PACKED_CONFIGURATION_PATH
+from .internal_http import (
+    CONFIGURATION_PATH,
+    CRASHES_PATH,
+    DIRECTORY_PATH,
+    HOSTS_PATH,
+    PACKED_CONFIGURATION_PATH,
+)
+from .messages import parse_address
+from .poison import CrashCount
 
 if TYPE_CHECKING:
     import asyncio
@@ -25,6 +36,7 @@
     from .log import Log
     from .neighbourhood import Neighbourhood
     from .peers import Peer
+    from .poison import PoisonList
     from .watches import ConfigurationKeeper
 
 __all__ = ["MAX_CONFIGURATION_BYTES", "PeerSync"]
@@ -34,6 +46,9 @@
 # Size of an uncompressed configuration; that of a fleet of 79 hosts is thirty times
 # smaller.
 MAX_CONFIGURATION_BYTES = 8_388_608
+# Between two reads of crash counts, and of the same list of hosts. While a change
+# spreads, most routers have other digests for a moment.
+READ_INTERVAL_S = 1.0
 # Compresses similar routes to a sixteenth; 300 KB take 1.4 ms.
 COMPRESSION_LEVEL = 1
 
@@ -59,6 +74,8 @@
         Returns whether this router itself receives the store's changes.
     on_servers : callable
         Called after the directory was replaced by that of a peer.
+    poison : PoisonList
+        The crash counts of requests.
     """
 
     def __init__(
@@ -71,6 +88,7 @@
         neighbourhood: Neighbourhood,
         is_following_store: Callable[[], bool],
         on_servers: Callable[[], None],
+        poison: PoisonList,
     ) -> None:
         self._loop = loop
         self._log = log
@@ -83,6 +101,9 @@
         self._fetching: dict[str, asyncio.Task[None]] = {}
         self._compressed: tuple[int, bytes] = (0, b"")
         self._directory_state = ""  # `Hello.directory` at the last fetch.
+        self._poison = poison
+        self._read_at: dict[str, float] = {}  # By path.
+        self._crash_digests: dict[str, int] = {}  # At the last read, by peer.
 
     def answer(self, path: str) -> tuple[int, bytes]:
         """Return status and body of the response to another router's request."""
@@ -96,12 +117,21 @@
             return 200, self._compressed[1]
         if path == DIRECTORY_PATH:
             return 200, msgspec.json.encode(self._directory.make_listing())
+        if path == CRASHES_PATH:
+            return 200, msgspec.json.encode(self._poison.export())
+        if path.startswith(HOSTS_PATH):
+            hosts = self._neighbourhood.list_hosts(path[len(HOSTS_PATH) :])
+            return 200, msgspec.json.encode(
+                {host: f"{ip}:{port}" for host, (ip, port) in hosts.items()}
+            )
         return 404, b""
 
     def fetch_newer(self, peer: Peer) -> None:
         """Fetch what is newer at a peer, according to its hello message."""
         self._update_configuration(peer)
         self._update_directory(peer)
+        self._update_crashes(peer)
+        self._update_host_lists(peer)
 
     def _update_configuration(self, peer: Peer) -> None:
         """Fetch a peer's configuration if it is newer."""
@@ -129,6 +159,36 @@
         elif hello.directory_store_version >= self._directory.store_version:
             self._start_fetch(DIRECTORY_PATH, self._fetch_directory, peer)
 
+    def _update_crashes(self, peer: Peer) -> None:
+        """Merge a peer's latest crash counts; read all if it has others as well."""
+        hello = peer.hello
+        self._poison.merge(hello.crashes)
+        if hello.crash_digest in (0, self._poison.digest):
+            return
+        if self._crash_digests.get(hello.host) == hello.crash_digest:
+            return  # Only counts that this router has in addition differ.
+        if self._is_read_due(CRASHES_PATH):
+            self._start_fetch(CRASHES_PATH, self._fetch_crashes, peer)
+
+    def _update_host_lists(self, peer: Peer) -> None:
+        """Read the lists of routers of other data centres that have changed."""
+        for zone, digest in peer.hello.host_lists.items():
+            if self._neighbourhood.confirm_zone_hosts(zone, digest):
+                continue
+            path = HOSTS_PATH + zone
+            if self._is_read_due(path):
+                self._start_fetch(
+                    path, functools.partial(self._fetch_hosts, zone), peer
+                )
+
+    def _is_read_due(self, path: str) -> bool:
+        """Whether `READ_INTERVAL_S` has passed since the last read of a path."""
+        now = self._loop.time()
+        if now - self._read_at.get(path, -math.inf) < READ_INTERVAL_S:
+            return False
+        self._read_at[path] = now
+        return True
+
     def _start_fetch(
         self,
         path: str,
@@ -181,6 +241,33 @@
             self._log.write("directory: server gone", server=server_id)
         self._on_servers()
 
+    async def _fetch_crashes(self, peer: Peer) -> None:
+        """Read all crash counts of a peer."""
+        digest = peer.hello.crash_digest
+        body = await self._fetch(peer, CRASHES_PATH)
+        if body is None:
+            return
+        try:
+            counts = msgspec.json.decode(body, type=list[CrashCount])
+        except msgspec.DecodeError as error:
+            self._log.write("peers: answer unreadable", error=str(error))
+            return
+        self._poison.merge(counts)
+        self._crash_digests[peer.hello.host] = digest
+
+    async def _fetch_hosts(self, zone: str, peer: Peer) -> None:
+        """Read the live routers of a data centre from a leader."""
+        body = await self._fetch(peer, HOSTS_PATH + zone)
+        if body is None:
+            return
+        try:
+            texts = msgspec.json.decode(body, type=dict[str, str])
+            hosts = {host: parse_address(text) for host, text in texts.items()}
+        except (msgspec.DecodeError, ValueError) as error:
+            self._log.write("peers: answer unreadable", error=str(error))
+            return
+        self._neighbourhood.note_zone_hosts(zone, hosts)
+
     async def _fetch(self, peer: Peer, path: str) -> bytes | None:
         """Return the body of a peer's response, None if it fails."""
         request = b"GET %b HTTP/1.1\r\nHost: router\r\n\r\n" % path.encode()
--- a/bronzesail/router/peers.py
+++ b/bronzesail/router/peers.py
@@ -17,6 +17,13 @@
 import attrs
 import msgspec
 
+from .messages import (
+    Hello,
+    TokenRequest,
+    TokenTransfer,
+    TransferConfirmation,
+    compute_hosts_digest,
+)
 from .neighbourhood import Allocator, Neighbour
 
 if TYPE_CHECKING:
@@ -27,15 +34,7 @@
     from .log import Log
     from .neighbourhood import Neighbourhood
 
-__all__ = [
-    "Hello",
-    "Peer",
-    "Peers",
-    "TokenRequest",
-    "TokenTransfer",
-    "TransferConfirmation",
-    "parse_address",
-]
+__all__ = ["Peer", "Peers"]
 
 HELLO_INTERVAL_S = 0.4  # Spreads changes within half a second; a hello has 300 bytes.
 LIVE_TIMEOUT_S = 1.5  # A peer without a hello for this long is not asked for tokens.
@@ -46,82 +45,9 @@
 TOKEN_REPLY_TIMEOUT_S = 0.2
 MAX_ASKED_PEERS = 5  # Peers that are asked for tokens to cover one shortage.
 DEMAND_AHEAD_S = 2.0  # Seconds of demand that are requested beyond the shortage.
-# A leader adds the list of hosts, as long as ten hellos, to every third hello.
-HELLOS_PER_HOST_LIST = 3
 MAX_DATAGRAM_BYTES = 60_000  # Below the 64 KiB of UDP; larger messages are dropped.
 
 
-def parse_address(text: str) -> tuple[str, int]:
-    """Parse ``IP:PORT`` into IP address and port.
-
-    >>> parse_address("10.0.0.1:80")
-    ('10.0.0.1', 80)
-    """
-    ip, _, port = text.rpartition(":")
-    return ip, int(port)
-
-
-def _format_addresses(hosts: dict[str, tuple[str, int]]) -> dict[str, str]:
-    return {host: f"{ip}:{port}" for host, (ip, port) in hosts.items()}
-
-
-class Hello(msgspec.Struct, tag="hello"):
-    """Periodic message in which a router announces itself and its state."""
-
-    host: str
-    incarnation: str
-    address: str
-    config_version: int
-    holder_key: str
-    free: dict[str, int]
-    # Crash counts of requests: counting host to request fingerprint to count.
-    suspects: dict[str, dict[str, int]]
-    zone: str = ""
-    link_mbps: float = 0.0
-    is_leaving: bool = False
-    is_in_step: bool = False
-    has_lost_store: bool = False
-    store_latency_s: float | None = None  # None if not known yet.
-    # Versions of the store up to which configuration and directory are complete.
-    config_store_version: int = 0
-    directory_store_version: int = 0
-    directory: str = ""  # Identifies the directory's state; differs after a change.
-    # Live routers, sent by leaders only: data centre to host to address.
-    hosts_by_zone: dict[str, dict[str, str]] = {}
-
-
-class TokenRequest(msgspec.Struct, tag="ask"):
-    """Request for at least `least` and at most `want` tokens of an account."""
-
-    id: str
-    account: str
-    want: int
-    least: int = 1
-    # Sent to the account's banker, which may refill from the store before replying.
-    is_banked: bool = False
-
-
-class TokenTransfer(msgspec.Struct, tag="gift"):
-    """Transfer of tokens: the reply to the request with id `ask`.
-
-    If `ask` is empty, nothing was requested and the receiver confirms the transfer.
-    """
-
-    id: str
-    ask: str
-    account: str
-    tokens: int
-    is_leftover: bool = False  # Requested before and returned unused.
-    lack: int = 0  # Result code why as many tokens cannot be had now, 0 if they may be.
-    kept: int = 0  # Tokens that the sender still has unspent.
-
-
-class TransferConfirmation(msgspec.Struct, tag="taken"):
-    """Confirms the receipt of a transfer that was not requested."""
-
-    id: str
-
-
 @attrs.define(kw_only=True)
 class Peer:
     """Another router with its last hello."""
@@ -181,7 +107,6 @@
         self._on_tokens = on_tokens
         self._incarnation = incarnation
         self._reply_tasks: dict[str, asyncio.Task[None]] = {}
-        self._n_hellos = 0
         self._transport: asyncio.DatagramTransport | None = None
         self._sequence = itertools.count(1)
         self._pending_requests: dict[str, asyncio.Future[TokenTransfer]] = {}
@@ -191,12 +116,10 @@
         self._message_decoder = msgspec.msgpack.Decoder(
             Hello | TokenRequest | TokenTransfer | TransferConfirmation
         )
-        self._own_address = ("", 0)
         self.by_host: dict[str, Peer] = {}
 
     async def start(self, ip: str, port: int) -> None:
         """Bind the socket and start to receive datagrams."""
-        self._own_address = (ip, port)
         transport, _ = await self._loop.create_datagram_endpoint(
             lambda: self, local_addr=(ip, port)
         )
@@ -217,30 +140,28 @@
     def send_hello(self) -> None:
         """Send a hello now.
 
-        The leader of a data centre also sends its live routers to the other leaders,
-        and those of other data centres to its own routers.
+        The leader of a data centre adds digests of the live routers of the others, and
+        sends the leaders of those a hello with the digest of its own.
         """
         hello = self._make_hello()
         neighbourhood = self._neighbourhood
         is_leader = neighbourhood.is_large and neighbourhood.find_leader() is None
-        self._n_hellos += 1
-        if is_leader and self._n_hellos % HELLOS_PER_HOST_LIST == 0:
-            hello.hosts_by_zone = {
-                zone: _format_addresses(hosts)
-                for zone, hosts in neighbourhood.list_other_zones().items()
-            }
+        if is_leader:
+            zones = neighbourhood.list_other_zones()
+            hello.host_lists = {zone: self._digest_hosts(zone) for zone in zones}
         encoded = msgspec.msgpack.encode(hello)
         for address in neighbourhood.list_hello_addresses():
             self._send(encoded, address)
         if not is_leader:
             return
-        hosts = neighbourhood.list_zone_hosts()
-        hosts[hello.host] = self._own_address
-        hello.hosts_by_zone = {hello.zone: _format_addresses(hosts)}
+        hello.host_lists = {hello.zone: self._digest_hosts(hello.zone)}
         encoded = msgspec.msgpack.encode(hello)
         for address in neighbourhood.list_other_leaders():
             self._send(encoded, address)
 
+    def _digest_hosts(self, zone: str) -> int:
+        return compute_hosts_digest(self._neighbourhood.list_hosts(zone))
+
     def list_live(self) -> list[Peer]:
         """Return the peers with a recent hello that are not shutting down."""
         now = self._loop.time()
@@ -407,11 +328,7 @@
                 is_in_step=hello.is_in_step,
                 has_lost_store=hello.has_lost_store,
                 store_latency_s=hello.store_latency_s,
-            ),
-            {
-                zone: {host: parse_address(text) for host, text in hosts.items()}
-                for zone, hosts in hello.hosts_by_zone.items()
-            },
+            )
         )
         peer = Peer(hello=hello, address=address, last_hello_at=self._loop.time())
         before = self.by_host.get(hello.host)
--- a/bronzesail/router/reservation_queue.py
+++ b/bronzesail/router/reservation_queue.py
@@ -21,8 +21,9 @@
     from .budget import BudgetBook
     from .budget_keeper import BudgetKeeper
     from .log import Log
+    from .messages import TokenRequest
     from .neighbourhood import Allocator, Neighbourhood
-    from .peers import Peers, TokenRequest
+    from .peers import Peers
 
 __all__ = ["ReservationQueue"]
 
--- a/tests/test_router/test_endless_answers.py
+++ b/tests/test_router/test_endless_answers.py
@@ -16,8 +16,10 @@
 from bronzesail.router.client import MAX_CALL_BYTES, ClientPool
 from bronzesail.router.internal_http import MAX_REQUEST_BYTES, start_internal_server
 from bronzesail.router.log import Log
+from bronzesail.router.messages import Hello
 from bronzesail.router.peer_sync import MAX_CONFIGURATION_BYTES, PeerSync
-from bronzesail.router.peers import Hello, Peer
+from bronzesail.router.peers import Peer
+from bronzesail.router.poison import PoisonList
 from bronzesail.router.relay import MAX_COLLECTED_BYTES, MAX_EVENT_BYTES
 from bronzesail.router.store import StoreClient, StoreError
 from tests.endless_server import CAP_BYTES, EndlessServer
@@ -176,14 +178,22 @@
     with open(folder / "news.log", "wb") as file:
         log = Log("h1", file.fileno())
         news = PeerSync(
-            loop, log, ClientPool(loop), fakes, fakes, fakes, lambda: False, lambda: 0
+            loop,
+            log,
+            ClientPool(loop),
+            fakes,
+            fakes,
+            fakes,
+            lambda: False,
+            lambda: 0,
+            PoisonList(loop.time),
         )
     return news, fakes
 
 
 def make_peer(address):
     """Return a peer whose hello announces a newer configuration."""
-    hello = Hello("h2", "i", f"{address[0]}:{address[1]}", 9, "k", {}, {})
+    hello = Hello("h2", "i", f"{address[0]}:{address[1]}", 9, "k", {})
     return Peer(hello=hello, address=address, last_hello_at=0.0)
 
 
--- a/tests/test_router/test_large_fleet.py
+++ b/tests/test_router/test_large_fleet.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from bronzesail.router.messages import PACKET_BYTES
 from bronzesail.router.neighbourhood import SMALL_FLEET
 from bronzesail.router.poison import make_fingerprint
 from bronzesail.standin import LinkPath
@@ -16,7 +17,6 @@
     wait_until,
 )
 
-PACKET_BYTES = 1472  # Payload of a UDP datagram on Ethernet, unfragmented.
 WATCHED_S = 1.5  # Three hello intervals; a change spreads within one.
 
 
@@ -110,7 +110,7 @@
     run_in_large_fleet(tmp_path, scenario)
 
 
-# A hello lists every crash known in the fleet; links of 10 Mbit/s dropped those of
+# A hello listed every crash known in the fleet; links of 10 Mbit/s dropped those of
 # 4.8 KB.
 def test_hellos_fit_into_a_packet_while_many_requests_have_crashed(tmp_path):
     n_crashes = 100  # Two engines with 64 requests each cause more if they crash.
@@ -126,3 +126,68 @@
 
     run_in_large_fleet(tmp_path, scenario)
     assert max(sizes) <= PACKET_BYTES
+
+
+# A hello of a leader listed the routers of all data centres: 6.6 KB in a fleet of 195.
+def test_the_hellos_of_a_leader_of_a_large_fleet_fit_into_a_packet(tmp_path):
+    n_zones, hosts_per_zone, n_accounts = 6, 33, 40
+    sizes = []
+
+    async def scenario(deployment):
+        (router,), _ = await start_routers(deployment, 1)
+        app = router.app
+        await wait_until(lambda: app.neighbourhood.is_large)
+        for number in range(n_accounts):
+            app.book.receive(f"account-{number}", 1_000_000_000 + number)
+        for number in range(hosts_per_zone):
+            app.poison.note_crash(make_fingerprint(b"/chat", "acme", b"%d" % number))
+        for zone in range(2, n_zones + 1):
+            app.neighbourhood.note_zone_hosts(
+                f"a-data-centre-{zone}",
+                {
+                    f"edge-a-data-centre-{zone}-{n}": (f"10.{zone}.0.{n}", 7000)
+                    for n in range(hosts_per_zone)
+                },
+            )
+        app.peers._send = lambda data, address: sizes.append(len(data))
+        app.peers.send_hello()
+
+    run_in_large_fleet(tmp_path, scenario)
+    assert sizes
+    assert max(sizes) <= PACKET_BYTES
+
+
+# More counts than a hello has room for reach the other routers by a separate read.
+def test_all_crash_counts_reach_the_other_routers(tmp_path):
+    keys = [make_fingerprint(b"/chat", "acme", b"%d" % n) for n in range(500)]
+
+    async def scenario(deployment):
+        routers, _ = await start_routers(deployment, 3)
+        for key in keys:
+            routers[0].app.poison.note_crash(key)
+        await wait_until(
+            lambda: all(
+                router.app.poison.count(key) == 1 for router in routers for key in keys
+            )
+        )
+        assert len({router.app.poison.digest for router in routers}) == 1
+
+    run_in_large_fleet(tmp_path, scenario)
+
+
+def test_a_changed_list_of_hosts_is_read_from_the_leader(tmp_path):
+    async def scenario(deployment):
+        routers, _ = await start_routers(deployment, 3)
+        leader, *others = (router.app.neighbourhood for router in routers)
+        hosts = {f"far-{number}": ("127.0.0.1", 9) for number in range(20)}
+        leader.note_zone_hosts("z2", hosts)
+        await wait_until(
+            lambda: all(view.list_other_zones().get("z2") == hosts for view in others)
+        )
+        del hosts["far-0"]
+        leader.note_zone_hosts("z2", dict(hosts))
+        await wait_until(
+            lambda: all(view.list_other_zones().get("z2") == hosts for view in others)
+        )
+
+    run_in_large_fleet(tmp_path, scenario)
--- a/tests/test_router/test_neighbourhood.py
+++ b/tests/test_router/test_neighbourhood.py
@@ -47,7 +47,7 @@
                 hosts = {h: (h, 1) for h in self.views if h.startswith(zone)}
                 for host_left in without:
                     hosts.pop(host_left, None)
-                view.note_hello(view._neighbours[f"{zone}-0"], {zone: hosts})
+                view.note_zone_hosts(zone, hosts)
 
     def deliver_hellos(self, hosts):
         """Deliver a hello of each router in `hosts` to all that know it."""
@@ -70,7 +70,7 @@
     fleet = Fleet(10)
     for zone in ZONES:
         leaders = {
-            view._host if leader is None else leader.host
+            view.host if leader is None else leader.host
             for view in fleet.list_zone(zone)
             for leader in [view.find_leader()]
         }
@@ -90,7 +90,7 @@
     for account in ACCOUNTS:
         found = [v for v in fleet.list_zone(zone) if not v.rank_allocators(account)]
         assert len(found) == 1
-        allocators.append(found[0]._host)
+        allocators.append(found[0].host)
         others = [v for v in fleet.list_zone(zone) if v.rank_allocators(account)]
         assert {v.rank_allocators(account)[0].host for v in others} == {allocators[-1]}
     assert len(set(allocators)) > 5
@@ -124,7 +124,7 @@
         for host, known in view._neighbours.items():
             known.is_in_step = host in in_step
             known.has_lost_store = host in lost
-    return {v._host for v in views if v.may_follow_store(v._host in in_step)}
+    return {v.host for v in views if v.may_follow_store(v.host in in_step)}
 
 
 def test_two_routers_of_a_data_centre_follow_the_store():
@@ -194,7 +194,7 @@
             (allocator,) = [v for v in views if not v.rank_allocators(account)]
             others = [v for v in views if v is not allocator]
             assert {v.rank_allocators(account)[0].host for v in others} == {
-                allocator._host
+                allocator.host
             }
 
 
--- a/tests/test_router/test_reservation_queue.py
+++ b/tests/test_router/test_reservation_queue.py
@@ -11,8 +11,8 @@
 
 from bronzesail.errors import ResultCode
 from bronzesail.router.budget import LEASE_S, BudgetBook
+from bronzesail.router.messages import TokenRequest, TokenTransfer
 from bronzesail.router.neighbourhood import SMALL_FLEET, Neighbourhood
-from bronzesail.router.peers import TokenRequest, TokenTransfer
 from bronzesail.router.reservation_queue import ReservationQueue
 from tests.platform_standin import wait_until
 from tests.router_fakes import RecordingLog
--- a/tests/test_router/test_small_cores.py
+++ b/tests/test_router/test_small_cores.py
@@ -16,7 +16,13 @@
     Placement,
     Work,
 )
-from bronzesail.router.poison import PoisonList, make_fingerprint
+from bronzesail.router.poison import (
+    ENTRY_TTL_S,
+    MAX_ENTRIES,
+    CrashCount,
+    PoisonList,
+    make_fingerprint,
+)
 from bronzesail.router.retry_budget import RetryBudget
 
 REGIONS = {"z1": "r1", "z2": "r1", "z3": "r2"}
@@ -248,39 +254,88 @@
 
 
 def test_crashes_count_at_all_routers(time):
-    first, second = PoisonList(time), PoisonList(time)
+    first, second = PoisonList(time, "p1"), PoisonList(time, "p2")
     key = make_fingerprint(b"/a", "acme", b"body")
     first.note_crash(key)
-    for host, counts in first.export("h1").items():
-        second.merge_counts(host, counts)
+    second.merge(first.export())
     assert not second.is_poison(key)
     second.note_crash(key)
     assert second.is_poison(key)
-    for host, counts in second.export("h2").items():
-        if host != "h1":
-            first.merge_counts(host, counts)
+    first.merge(second.export())
     assert first.is_poison(key)
 
 
 def test_crashes_reported_twice_count_once(time):
-    first, second = PoisonList(time), PoisonList(time)
+    first, second = PoisonList(time, "p1"), PoisonList(time, "p2")
     key = make_fingerprint(b"/a", "acme", b"body")
     first.note_crash(key)
     for _ in range(5):
-        second.merge_counts("h1", first.export("h1")["h1"])
+        second.merge(first.export())
     assert second.count(key) == 1
 
 
+# A restarted process began to count at 0 under the name of its host, and the other
+# routers ignored its counts up to those of the process before.
+def test_crashes_add_up_over_the_processes_of_a_host(time):
+    before, after, other = (PoisonList(time, name) for name in ("p1", "p2", "p3"))
+    key = make_fingerprint(b"/a", "acme", b"body")
+    before.note_crash(key)
+    other.merge(before.export())
+    after.note_crash(key)
+    other.merge(after.export())
+    assert other.count(key) == 2
+
+
 def test_a_request_that_succeeded_is_no_poison_despite_other_counts(time):
-    poison = PoisonList(time)
+    poison = PoisonList(time, "p0")
     key = make_fingerprint(b"/a", "acme", b"")
-    poison.merge_counts("h1", {key: 2})
+    poison.merge([CrashCount("p1", key, 2, 0.0)])
     assert poison.is_poison(key)
     poison.clear(key)
-    poison.merge_counts("h2", {key: 3})
+    poison.merge([CrashCount("p2", key, 3, 0.0)])
     assert not poison.is_poison(key)
 
 
+# A router that heard of a count late kept it longer, and the others took it for new.
+def test_a_count_that_arrived_late_expires_with_those_of_the_others(time):
+    first, late, third = (PoisonList(time, f"p{number}") for number in range(3))
+    key = make_fingerprint(b"/a", "acme", b"")
+    first.note_crash(key)
+    first.note_crash(key)
+    third.merge(first.export())
+    time.now += ENTRY_TTL_S / 2
+    late.merge(first.export())
+    assert late.is_poison(key)
+    time.now += ENTRY_TTL_S / 2 + 1
+    third.merge(late.export())
+    assert not third.is_poison(key)
+    assert not late.is_poison(key)
+
+
+def test_equal_counts_have_equal_digests_in_any_order(time):
+    first, second = PoisonList(time, "p1"), PoisonList(time, "p2")
+    keys = [make_fingerprint(b"/a", "acme", b"%d" % number) for number in range(5)]
+    for key in keys:
+        first.note_crash(key)
+        time.now += 0.1
+    second.merge(reversed(first.export()))
+    assert second.digest == first.digest != 0
+    second.note_crash(keys[0])
+    assert second.digest != first.digest
+    time.now += 2 * ENTRY_TTL_S
+    first.export()
+    assert first.digest == 0
+
+
+def test_the_number_of_counts_is_bounded(time):
+    poison = PoisonList(time, "p1")
+    for number in range(MAX_ENTRIES + 10):
+        poison.note_crash(f"{number}")
+    assert len(poison.export()) == MAX_ENTRIES
+    assert poison.count("0") == 0
+    assert poison.count(f"{MAX_ENTRIES + 9}") == 1
+
+
 def test_other_requests_have_other_fingerprints():
     keys = {
         make_fingerprint(target, account, body)
