router: servers that leave, or ask for a pause, by their own word

Cause: only the store's entry took a leaving server out of choice, and a 503 with Retry-After counted as an overload of unknown length: requests went on being sent to the server, or waited a quarter of their time for a place that nobody would have.

Change: any answer with Server-Leaving (a stream's head, a failure, a rejection; not a 421, which another server sends) takes the server out of choice at this router until its next life. Hellos pass it on, and lists of servers contain it. Draining entries and pauses are checked again after a connection was opened. A server that asks for a pause gets nothing until it ends; then its share of the load grows from a tenth to the whole within a second. If no server accepts a request in the time that it may wait, or all have been tried, it is refused at once, with the earliest end of a pause.

Also: a server counted as free while connections to it were being opened, so that a burst chose it for any number of requests; chosen requests now count.

Tests failed first by dropping each guard (tools/mutants.py has them).

--- a/bronzesail/model/_types.py
+++ b/bronzesail/model/_types.py
@@ -153,7 +153,11 @@
 
 @attrs.frozen(kw_only=True)
 class AnswerHead:
-    """What a backend server's headers say of its answer."""
+    """What a backend server's headers say of its answer and of the server.
+
+    `is_leaving` is set if the server will stop, `pause_s` if it wants no request from
+    this router for that many seconds. `malformed` names headers that were ignored.
+    """
 
     status: int
     request_id: str | None
@@ -163,6 +167,9 @@
     running: int | None
     waiting: int | None
     passed_on: bytes
+    is_leaving: bool = False
+    pause_s: float | None = None
+    malformed: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/bronzesail/platform/_answers.py
+++ b/bronzesail/platform/_answers.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import datetime
+import email.utils
+
 from ..errors import Refusal, ResultCode
 from ..model import AnswerHead
 
@@ -14,6 +17,8 @@
 }  # fmt: skip
 
 
+# What servers say of themselves; each may occur more than once.
+REPORT_HEADERS = {b"server-leaving", b"retry-after"}
 # Statuses that guarantee callers that the request was not and will not be executed.
 NOT_EXECUTED_STATUSES = {408, 421, 429, 503}
 # Overrides of the status of a refusal. The router sends a 4xx status only for requests
@@ -27,11 +32,14 @@
     def __init__(self) -> None:
         self._lines: list[bytes] = []
         self._value_by_name: dict[bytes, bytes] = {}
+        self._values_by_name: dict[bytes, list[bytes]] = {}
 
     def add(self, name: bytes, value: bytes) -> None:
         """Add one header line."""
         lower = name.lower()
         self._value_by_name[lower] = value
+        if lower in REPORT_HEADERS:
+            self._values_by_name.setdefault(lower, []).append(value.strip())
         if lower not in DROPPED_HEADERS:
             self._lines.append(b"%b: %b\r\n" % (name, value))
 
@@ -39,6 +47,7 @@
         """Return the response's head, decoded from the collected lines."""
         request_id = self._value_by_name.get(b"x-attempt-id")
         running, waiting = _read_load(self._value_by_name.get(b"x-server-load"))
+        malformed: list[str] = []
         return AnswerHead(
             status=status,
             request_id=None if request_id is None else request_id.decode("latin-1"),
@@ -50,8 +59,29 @@
             running=running,
             waiting=waiting,
             passed_on=b"".join(self._lines),
+            is_leaving=self._read_leaving(malformed),
+            pause_s=self._read_pause_s(malformed) if status == 503 else None,
+            malformed=tuple(malformed),
         )
 
+    def _read_leaving(self, malformed: list[str]) -> bool:
+        """Whether the server announces that it will stop."""
+        values = self._values_by_name.get(b"server-leaving", [])
+        if not set(values) <= {b"0", b"1"}:
+            malformed.append("Server-Leaving")
+        return b"1" in values
+
+    def _read_pause_s(self, malformed: list[str]) -> float | None:
+        """Return the longest time in Retry-After, None if there is no valid one."""
+        longest_s = None
+        for value in self._values_by_name.get(b"retry-after", []):
+            pause_s = _read_retry_after_s(value.decode("latin-1"))
+            if pause_s is None:
+                malformed.append("Retry-After")
+            elif longest_s is None or pause_s > longest_s:
+                longest_s = pause_s
+        return longest_s
+
     @property
     def has_length(self) -> bool:
         """Whether the body is delimited by its length or by chunks."""
@@ -87,6 +117,21 @@
     return status, b"".join(lines)
 
 
+def _read_retry_after_s(text: str) -> float | None:
+    """Return a time in seconds, given as a number or as a date; None if malformed."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        try:
+            date = email.utils.parsedate_to_datetime(text)
+        except (TypeError, ValueError, OverflowError):
+            return None
+        if date.tzinfo is None:
+            date = date.replace(tzinfo=datetime.UTC)
+        return max(0.0, (date - datetime.datetime.now(datetime.UTC)).total_seconds())
+    return seconds if seconds >= 0 else None  # Also None for a NaN.
+
+
 def _read_load(value: bytes | None) -> tuple[int | None, int | None]:
     """Return the numbers of running and waiting requests that a server reports."""
     if value is None:
--- a/bronzesail/router/admission_queue.py
+++ b/bronzesail/router/admission_queue.py
@@ -12,6 +12,7 @@
 
 from ..model import BackendServer, Engine
 from .placement import Work
+from .withdrawals import RAMP_S
 
 if TYPE_CHECKING:
     from .directory import Directory
@@ -35,6 +36,7 @@
     engine: Engine | None
     excluded: Sequence[str]
     future: asyncio.Future[BackendServer | None]
+    deadline: float
 
 
 class AdmissionQueue:
@@ -85,7 +87,7 @@
             if server is not None:
                 return server
         loop = asyncio.get_running_loop()
-        queued = _QueuedRequest(work, engine, excluded, loop.create_future())
+        queued = _QueuedRequest(work, engine, excluded, loop.create_future(), deadline)
         queue = self._queues.setdefault(service, [])
         heapq.heappush(queue, (rank, next(self._sequence), queued))
         timer = loop.call_later(RECHECK_S, self._recheck, service)
@@ -102,6 +104,49 @@
         """Return the number of queued requests of a service."""
         return sum(not w.future.done() for _, _, w in self._queues.get(service, ()))
 
+    def find_resume_time(
+        self, service: str, excluded: Sequence[str] = ()
+    ) -> float | None:
+        """Return when the first server ends its pause, None unless all pause.
+
+        Servers whose ids are in `excluded` do not count.
+        """
+        earliest = None
+        for server in self._directory.list_usable(service):
+            if server.id in excluded:
+                continue
+            ends_at = self._directory.withdrawals.find_pause_end(server)
+            if ends_at is None:
+                return None
+            earliest = ends_at if earliest is None else min(earliest, ends_at)
+        return earliest
+
+    def note_pause(self, service: str, ends_at: float) -> None:
+        """End the wait of requests that no server will accept in time.
+
+        Parameters
+        ----------
+        service : str
+            Service of the server that pauses.
+        ends_at : float
+            When its pause ends and queued requests are sent to it again.
+        """
+        for _, _, queued in self._queues.get(service, ()):
+            resume_at = self.find_resume_time(service, queued.excluded)
+            if queued.future.done() or resume_at is None:
+                continue
+            if resume_at > queued.deadline:
+                queued.future.set_result(None)
+        loop = asyncio.get_running_loop()
+        loop.call_at(ends_at, self._dispatch_during_ramp, service, ends_at + RAMP_S)
+
+    def _dispatch_during_ramp(self, service: str, until: float) -> None:
+        """Dispatch now, and again while a server's share grows after its pause."""
+        self.dispatch(service)
+        loop = asyncio.get_running_loop()
+        if self.count_waiting(service) and loop.time() < until:
+            loop.call_later(RECHECK_S, self._dispatch_during_ramp, service, until)
+
     def dispatch(self, service: str) -> None:
         """Assign a server to the first queued request if one has capacity.
 
@@ -145,10 +190,16 @@
         requests_per_slot = (
             PLAIN_REQUESTS_PER_SLOT if engine is None else ENGINE_REQUESTS_PER_SLOT
         )
-        available = [
-            server
-            for server in servers
-            if self._placement.estimate_requests(server.id, now)
-            < server.slots * requests_per_slot
-        ]
+        available = []
+        for server in servers:
+            share = self._directory.withdrawals.compute_share(server)
+            capacity = server.slots * requests_per_slot * share
+            estimated = self._placement.estimate_requests(server.id, now)
+            if 0 < share < 1:
+                # Reports from before the pause say nothing of the load after it.
+                load = self._placement.get_load(server.id)
+                estimated = load.in_flight + load.assigned
+                capacity = max(1.0, capacity)
+            if estimated < capacity:
+                available.append(server)
         return self._placement.choose(available, work, engine, excluded)
--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -30,6 +30,7 @@
     parse_address,
     select_crashes,
     select_free,
+    select_leaving,
 )
 from .metrics import Metrics
 from .neighbourhood import Neighbourhood
@@ -391,6 +392,9 @@
         set_state = self.services.metrics.set_state
         set_state("config_version", self.configuration.version)
         set_state("servers", len(self.directory))
+        withdrawals = self.directory.withdrawals
+        set_state("servers_leaving", len(withdrawals.list_leaving()))
+        set_state("servers_asked_for_pause", withdrawals.n_pauses)
         set_state("routers_counted", self.services.count_hosts() or 0)
         set_state("store_calls", self.store.calls)
         set_state("store_failures_in_a_row", self.store.failures_in_a_row)
@@ -497,11 +501,18 @@
             store_latency_s=self._get_store_latency_s(),
             config_store_version=self.configuration.store_version,
             directory_store_version=self.directory.store_version,
+            leaving=select_leaving(self.directory.withdrawals.list_new_leaving()),
             directory=f"{self.incarnation}.{self.directory.generation}",
         )
 
     def _process_hello(self, peer: Peer) -> None:
-        """Fetch what a peer has in a newer version."""
+        """Record what a peer says of servers and fetch what it has newer."""
+        if self.directory.merge_leaving(peer.hello.leaving):
+            self.log.write(
+                "directory: servers leave by their own word",
+                servers=list(peer.hello.leaving),
+                source=peer.hello.host,
+            )
         self.news.fetch_newer(peer)
 
     # Periodic work.
--- a/bronzesail/router/directory.py
+++ b/bronzesail/router/directory.py
@@ -7,9 +7,10 @@
 import attrs
 
 from ..model import BackendServer
+from .withdrawals import Withdrawals
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Mapping
 
 __all__ = ["Directory", "Listing"]
 
@@ -34,11 +35,14 @@
         Remaining grace of servers whose entries may have expired in an outage of the
         store, in seconds by id. The receiver keeps those of them that it knows and
         adds none.
+    leaving : dict
+        Start of the leaving life of each leaving server, in milliseconds by id.
     """
 
     store_version: int
     servers: list[BackendServer]
     lapsed: dict[str, float]
+    leaving: dict[str, int] = attrs.field(factory=dict)
 
 
 class Directory:
@@ -55,6 +59,8 @@
         Number of changes so far.
     store_version : int
         Version of the store up to which the directory is complete.
+    withdrawals : Withdrawals
+        The servers that leave or pause by their own word.
     """
 
     def __init__(self, now: Callable[[], float]) -> None:
@@ -63,6 +69,7 @@
         self._grace_ends: dict[str, float] = {}
         self._replaced: set[str] = set()
         self._store_recovered_at = -1e9
+        self.withdrawals = Withdrawals(now)
         self.generation = 0
         self.store_version = 0
 
@@ -77,6 +84,7 @@
             store_version=self.store_version,
             servers=[s for s in self._servers.values() if s.id not in self._grace_ends],
             lapsed={key: until - now for key, until in self._grace_ends.items()},
+            leaving=self.withdrawals.list_leaving(),
         )
 
     def adopt(self, listing: Listing) -> list[str] | None:
@@ -86,6 +94,7 @@
         """
         if listing.store_version < self.store_version:
             return None
+        self.merge_leaving(listing.leaving)
         listed = {server.id for server in listing.servers}
         for server in listing.servers:
             self.put(server)
@@ -100,6 +109,20 @@
         self.note_version(listing.store_version)
         return removed
 
+    def note_leaving(self, server: BackendServer) -> bool:
+        """Record that a server leaves by its own word; return whether this is new."""
+        return self.merge_leaving({server.id: server.born_ms})
+
+    def merge_leaving(self, born_ms_by_id: Mapping[str, int]) -> bool:
+        """Record servers that leave; return whether any of them was unknown.
+
+        The parameter holds the start of their leaving life, in milliseconds by id.
+        """
+        if not self.withdrawals.merge_leaving(born_ms_by_id):
+            return False
+        self.generation += 1
+        return True
+
     def note_store_recovered(self) -> None:
         """Record that the store has just recovered from an outage."""
         self._store_recovered_at = self._now()
@@ -163,14 +186,20 @@
         """Return a server by its id, None if it is unknown."""
         return self._servers.get(server_id)
 
+    def is_usable(self, server: BackendServer) -> bool:
+        """Whether a server accepts new requests; pauses are not considered."""
+        return (
+            not server.is_draining
+            and server.id not in self._replaced
+            and not self.withdrawals.is_leaving(server)
+        )
+
     def list_usable(self, service: str) -> list[BackendServer]:
         """Return the servers of a service that accept new requests."""
         return [
             server
             for server in self._servers.values()
-            if server.service == service
-            and not server.is_draining
-            and server.id not in self._replaced
+            if server.service == service and self.is_usable(server)
         ]
 
     def list_ids(self) -> list[str]:
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -272,9 +272,17 @@
             raise self._make_refusal_error(ResultCode.QUARANTINED)
         server = await self._choose_server()
         self._check_still_allowed()
-        connection = await self._connect(server)
+        self._services.placement.note_assigned(server.id)
+        try:
+            connection = await self._connect(server)
+        finally:
+            self._services.placement.note_assignment_ended(server.id)
         if connection is None:
             return False
+        if not self._services.is_available(server):
+            # It has withdrawn while the connection was opened.
+            self._services.pool.release(connection)
+            return False
         if self._sends and not self._spend_retry():
             self._services.pool.release(connection)
             raise self._make_refusal_error(
@@ -293,6 +301,7 @@
         wait_s = (self._deadline_at - self._loop.time()) * MAX_WAIT_SHARE
         wait_until = self._loop.time() + wait_s
         asked_at = self._loop.time()
+        self._refuse_if_hopeless(wait_until)
         server = await self._services.admission_queue.find_server(
             self._service,
             self._work,
@@ -304,13 +313,44 @@
         self._place_wait_s += self._loop.time() - asked_at
         if server is not None:
             return server
+        self._refuse_if_hopeless(wait_until)
         if self._services.directory.list_usable(self._service):
+            raise self._make_overloaded_error()
+        raise self._make_refusal_error(
+            ResultCode.NO_BACKEND, retry_after_s=NO_BACKEND_RETRY_AFTER_S
+        )
+
+    def _refuse_if_hopeless(self, wait_until: float) -> None:
+        """Refuse the request at once if no server can be expected to accept it in time.
+
+        That is so if all servers have been tried, or have asked for a pause that lasts
+        longer than the request may wait.
+        """
+        usable = self._services.directory.list_usable(self._service)
+        if not usable:
+            return
+        resume_at = self._services.admission_queue.find_resume_time(self._service)
+        is_pausing = resume_at is not None and resume_at > wait_until
+        if is_pausing or all(s.id in self._tried_server_ids for s in usable):
+            raise self._make_overloaded_error(resume_at)
+
+    def _make_overloaded_error(self, resume_at: float | None = None) -> _RefusedError:
+        """Return the refusal of a request that finds no place at a server.
+
+        `resume_at` is when the first server ends its pause, None if not all pause.
+        """
+        if resume_at is None:
             retry_s = OVERLOADED_RETRY_AFTER_S * self._services.random.uniform(
                 0.75, 1.25
             )
-            raise self._make_refusal_error(ResultCode.OVERLOADED, retry_after_s=retry_s)
-        raise self._make_refusal_error(
-            ResultCode.NO_BACKEND, retry_after_s=NO_BACKEND_RETRY_AFTER_S
+            return self._make_refusal_error(
+                ResultCode.OVERLOADED, retry_after_s=retry_s
+            )
+        pause_s = resume_at - self._loop.time()
+        return self._make_refusal_error(
+            ResultCode.OVERLOADED,
+            "all servers have asked for a pause",
+            retry_after_s=pause_s * self._services.random.uniform(1.0, 1.25),
         )
 
     @property
@@ -384,6 +424,7 @@
                 placement.note_response_started(server.id, unread_tokens, ticket)
             if head.running is not None and head.waiting is not None:
                 placement.note_load_report(server.id, head.running, head.waiting)
+            self._services.note_answer_head(server, head)
 
         relay = Relay(
             self._loop,
@@ -598,14 +639,18 @@
         """Record that the server did not run the request.
 
         Status 421 means that another server has replaced it at its address. After any
-        other status its slots count as full, with as many requests waiting.
+        other status its slots count as full, with as many requests waiting, unless it
+        has said when it is available again.
         """
         assert outcome.head is not None
         if outcome.head.status == 421:
             self._misdirected_sends += 1
             self._services.note_replaced(server)
             return
-        self._services.placement.note_load_report(server.id, server.slots, server.slots)
+        if outcome.head.pause_s is None:
+            self._services.placement.note_load_report(
+                server.id, server.slots, server.slots
+            )
 
     @staticmethod
     def _is_crash(outcome: Outcome) -> bool:
--- a/bronzesail/router/messages.py
+++ b/bronzesail/router/messages.py
@@ -28,12 +28,14 @@
     "parse_address",
     "select_crashes",
     "select_free",
+    "select_leaving",
 ]
 
 PACKET_BYTES = 1472  # Payload of a UDP datagram on Ethernet, unfragmented.
 # Shares of a packet for the lists of a hello; its other fields take up to 400 bytes.
 MAX_CRASH_BYTES = 300
 MAX_FREE_BYTES = 300
+MAX_LEAVING_BYTES = 200
 MAX_HELLO_CRASHES = 10
 
 T = TypeVar("T")
@@ -61,6 +63,9 @@
     config_store_version: int = 0
     directory_store_version: int = 0
     directory: str = ""  # Identifies the directory's state; differs after a change.
+    # Start of the ending life, in milliseconds by id, of backend servers that leave;
+    # those learned of last.
+    leaving: dict[str, int] = {}
     # Digests of the live routers by data centre, sent by leaders only.
     host_lists: dict[str, int] = {}
 
@@ -133,6 +138,15 @@
     )
 
 
+def select_leaving(latest_first: dict[str, int]) -> dict[str, int]:
+    """Return the servers learned of last, as many as a hello has room for."""
+    return dict(
+        _take_within(
+            latest_first.items(), MAX_LEAVING_BYTES, lambda item: len(item[0]) + 11
+        )
+    )
+
+
 def _take_within(
     items: Iterable[T], max_bytes: int, measure: Callable[[T], int]
 ) -> list[T]:
--- a/bronzesail/router/placement.py
+++ b/bronzesail/router/placement.py
@@ -73,6 +73,9 @@
     ----------
     in_flight : int
         Requests that this router has sent and that have not ended.
+    assigned : int
+        Requests for which this router has chosen the server and that are not sent yet,
+        because a connection is being opened.
     unread_tokens : float
         Prompt tokens of this router's requests that the server has not prefilled yet.
     reported_requests : int
@@ -103,6 +106,7 @@
     """
 
     in_flight: int = 0
+    assigned: int = 0
     unread_tokens: float = 0.0
     reported_requests: int = 0
     reported_at: float = -1e9
@@ -236,15 +240,25 @@
     def estimate_requests(self, server_id: str, now: float) -> float:
         """Return the estimated number of requests that run or wait at a server.
 
-        This is the number of own requests in flight, plus the reported requests of
-        other routers, which lose weight as the report ages.
+        This is the number of own requests, those included that are about to be sent,
+        plus the reported requests of other routers, which lose weight as the report
+        ages.
         """
         load = self.get_load(server_id)
         age_s = now - load.reported_at
         others = max(0.0, load.reported_requests - load.in_flight_at_report)
         if age_s > REPORT_FRESH_S:
             others *= max(0.3, 1 - (age_s - REPORT_FRESH_S) / 10)
-        return load.in_flight + others
+        return load.in_flight + load.assigned + others
+
+    def note_assigned(self, server_id: str) -> None:
+        """Record that a server was chosen for a request, which is sent next."""
+        self.get_load(server_id).assigned += 1
+
+    def note_assignment_ended(self, server_id: str) -> None:
+        """Record that the request is being sent, or is not sent to the server."""
+        load = self.get_load(server_id)
+        load.assigned = max(0, load.assigned - 1)
 
     def note_sent(self, server_id: str, work: Work, send_id: int) -> float:
         """Record a send; return the prompt tokens that the server has to prefill."""
--- a/bronzesail/router/services.py
+++ b/bronzesail/router/services.py
@@ -25,7 +25,7 @@
 from .watches import ConfigurationKeeper
 
 if TYPE_CHECKING:
-    from ..model import BackendServer, ClientAccount, Route
+    from ..model import AnswerHead, BackendServer, ClientAccount, Route
     from .exchange import Exchange
 
 __all__ = ["Services"]
@@ -85,6 +85,37 @@
         if self.directory.note_replaced(server):
             self.log.write("directory: server replaced", server=server.id)
 
+    def is_available(self, server: BackendServer) -> bool:
+        """Whether a server still accepts requests, as of now."""
+        current = self.directory.get(server.id)
+        return (
+            current is not None
+            and self.directory.is_usable(current)
+            and self.directory.withdrawals.find_pause_end(current) is None
+        )
+
+    def note_answer_head(self, server: BackendServer, head: AnswerHead) -> None:
+        """Record what a server says of itself with an answer.
+
+        Status 421 comes from another server at the same address.
+        """
+        if head.malformed:
+            self.log.write(
+                "server: malformed header ignored",
+                server=server.id,
+                headers=head.malformed,
+            )
+        if head.status == 421:
+            return
+        if head.is_leaving and self.directory.note_leaving(server):
+            self.log.write("server: leaving by its own word", server=server.id)
+        if head.pause_s:
+            ends_at = self.directory.withdrawals.note_pause(server, head.pause_s)
+            self.log.write(
+                "server: asked for a pause", server=server.id, pause_s=head.pause_s
+            )
+            self.admission_queue.note_pause(server.service, ends_at)
+
     def note_failure(self, server: BackendServer, reason: str) -> None:
         """Record a failed request, which may eject the server."""
         if self.placement.note_failure(server.id):
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -191,6 +191,7 @@
         self.requests = []
         self.misdirected = []
         self.arrived_at = []  # Time and id of each request, accepted or not.
+        self.more_headers = ()  # In all responses, those of status 421 included.
         self._behave = behave
         self._server = HttpServer(self._answer)
 
@@ -221,7 +222,7 @@
     async def _answer(self, request, responder):
         name = request.find_header("x-attempt-id")
         self.arrived_at.append((asyncio.get_running_loop().time(), name))
-        headers = [("X-Attempt-Id", name)]
+        headers = [("X-Attempt-Id", name), *self.more_headers]
         if request.find_header("x-expect-instance") != self.id:
             self.misdirected.append(request)
             await responder.start(421, (*headers, ("Content-Length", "0")))
--- a/tests/router_fakes.py
+++ b/tests/router_fakes.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from bronzesail.model import Row, RowsAnswer
+from bronzesail.model import BackendServer, Row, RowsAnswer
 from bronzesail.router.store import ConflictError, StoreError
 
 
@@ -144,3 +144,29 @@
             value=found[0],
             version=found[1],
         )
+
+
+class ManualClock:
+    """A clock that a test sets."""
+
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+def make_server(server_id, zone="z1", **changes):
+    """Return a backend server of service "s"."""
+    fields = {
+        "id": server_id,
+        "service": "s",
+        "ip": "10.0.0.1",
+        "port": 80,
+        "zone": zone,
+        "slots": 8,
+        "is_draining": False,
+        "cold_left_s": 0.0,
+        "born_ms": 0,
+    }
+    return BackendServer(**{**fields, **changes})
--- a/tests/test_router/test_small_cores.py
+++ b/tests/test_router/test_small_cores.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from bronzesail.model import BackendServer, Engine
+from bronzesail.model import Engine
 from bronzesail.router.directory import LAPSE_GRACE_S, Directory
 from bronzesail.router.log import MAX_PENDING_BYTES, Log
 from bronzesail.router.placement import (
@@ -24,34 +24,12 @@
     make_fingerprint,
 )
 from bronzesail.router.retry_budget import RetryBudget
+from tests.router_fakes import ManualClock, make_server
 
 REGIONS = {"z1": "r1", "z2": "r1", "z3": "r2"}
 ENGINE = Engine(slots=8, cache_tokens=100_000, tokens_per_event=5)
 
 
-class ManualClock:
-    def __init__(self):
-        self.now = 100.0
-
-    def __call__(self):
-        return self.now
-
-
-def make_server(server_id, zone="z1", **changes):
-    fields = {
-        "id": server_id,
-        "service": "s",
-        "ip": "10.0.0.1",
-        "port": 80,
-        "zone": zone,
-        "slots": 8,
-        "is_draining": False,
-        "cold_left_s": 0.0,
-        "born_ms": 0,
-    }
-    return BackendServer(**{**fields, **changes})
-
-
 @pytest.fixture
 def time():
     return ManualClock()
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -53,6 +53,9 @@
 )
 ENDLESS_TESTS = "tests/test_router/test_endless_answers.py"
 
+WITHDRAWAL_TESTS = "tests/test_router/test_withdrawals.py"
+HELLO_TESTS = "tests/test_router/test_large_fleet.py"
+
 MUTANTS = (
     Mutant(
         "a claim of another router counts as the own one",
@@ -319,6 +322,83 @@
         "0 > self._handler",
         ENDLESS_TESTS,
     ),
+    Mutant(
+        "a server that says it leaves stays in choice",
+        "bronzesail/router/services.py",
+        "if head.is_leaving and self.directory.note_leaving(server):",
+        "if False:",
+        WITHDRAWAL_TESTS,
+    ),
+    Mutant(
+        "the other routers do not learn that a server leaves",
+        "bronzesail/router/application.py",
+        "if self.directory.merge_leaving(peer.hello.leaving):",
+        "if False:",
+        WITHDRAWAL_TESTS,
+    ),
+    Mutant(
+        "a server leaves for longer than one life",
+        "bronzesail/router/withdrawals.py",
+        "return life is not None and life.born_ms >= server.born_ms",
+        "return life is not None",
+        WITHDRAWAL_TESTS,
+    ),
+    Mutant(
+        "a server at the address of another speaks for it",
+        "bronzesail/router/services.py",
+        "if head.status == 421:",
+        "if False:",
+        WITHDRAWAL_TESTS,
+    ),
+    Mutant(
+        "the pause that a server asks for is ignored",
+        "bronzesail/router/services.py",
+        "if head.pause_s:",
+        "if False:",
+        WITHDRAWAL_TESTS,
+    ),
+    Mutant(
+        "a queued request waits through a pause",
+        "bronzesail/router/admission_queue.py",
+        "if resume_at > queued.deadline:",
+        "if False:",
+        WITHDRAWAL_TESTS,
+    ),
+    Mutant(
+        "a server gets its full share when its pause ends",
+        "bronzesail/router/withdrawals.py",
+        "return max(MIN_RAMP_SHARE, since_end_s / RAMP_S)",
+        "return 1.0",
+        WITHDRAWAL_TESTS,
+    ),
+    Mutant(
+        "a request waits while all servers pause",
+        "bronzesail/router/exchange.py",
+        "is_pausing = resume_at is not None and resume_at > wait_until",
+        "is_pausing = False",
+        WITHDRAWAL_TESTS,
+    ),
+    Mutant(
+        "a hello carries all crash counts",
+        "bronzesail/router/application.py",
+        "crashes=select_crashes(self.poison.export(MAX_HELLO_CRASHES)),",
+        "crashes=self.poison.export(),",
+        HELLO_TESTS,
+    ),
+    Mutant(
+        "crash counts beyond those of a hello are not read",
+        "bronzesail/router/peer_sync.py",
+        "if hello.crash_digest in (0, self._poison.digest):",
+        "if True:",
+        HELLO_TESTS,
+    ),
+    Mutant(
+        "a changed list of hosts is not read",
+        "bronzesail/router/peer_sync.py",
+        "if self._neighbourhood.confirm_zone_hosts(zone, digest):",
+        "if True:",
+        HELLO_TESTS,
+    ),
 )
 
 
