--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,12 @@
-# Targets: setup, demo, binary, test, format, schema, bench-NAME, soak, soak-router.
+# Targets: setup, demo, binary, test, format, schema, bench-NAME, soak, soak-router,
+# mutants, model-check.
 PYTHON ?= python3.11
 VENV ?= .venv
 TEST_PROCESSES ?= 4
 BIN := $(VENV)/bin
 RUN := $(BIN)/python -m
 
-.PHONY: setup demo binary test format schema reference soak soak-router mutants
+.PHONY: setup demo binary test format schema reference soak soak-router mutants model-check
 
 setup: $(VENV)/.installed
 
@@ -26,6 +27,7 @@
 	$(RUN) tools.generate_schema --check
 	$(RUN) tools.generate_reference --check
 	$(RUN) mypy
+	$(RUN) tests.model_check
 	$(RUN) pytest --numprocesses $(TEST_PROCESSES) --dist loadfile
 
 format: setup
@@ -51,6 +53,10 @@
 soak: setup
 	$(RUN) benchmarks.soak --duration-s $(DURATION_S) --seed $(SEED)
 
+# PLANT names a guard to drop, which must be noticed: see tests/model_check.py.
+model-check: setup
+	$(RUN) tests.model_check $(if $(PLANT),--plant $(PLANT))
+
 SEEDS ?= 50
 soak-router: setup
 	$(RUN) tests.router_soak --first $(SEED) --seeds $(SEEDS)
--- a/bronzesail/model/__init__.py
+++ b/bronzesail/model/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ._rows import Row, RowCheck, RowKey, RowsAnswer, RowWrite
+from ._rows import Row, RowCheck, RowKey, RowsAnswer, RowWrite, StoreVersion
 from ._types import (
     AnswerHead,
     BackendServer,
@@ -38,4 +38,5 @@
     "RowsAnswer",
     "Service",
     "StoreSettings",
+    "StoreVersion",
 ]
--- a/bronzesail/model/_rows.py
+++ b/bronzesail/model/_rows.py
@@ -4,7 +4,24 @@
 
 import attrs
 
-__all__ = ["Row", "RowCheck", "RowKey", "RowWrite", "RowsAnswer"]
+__all__ = ["Row", "RowCheck", "RowKey", "RowWrite", "RowsAnswer", "StoreVersion"]
+
+
+@attrs.frozen(order=True)
+class StoreVersion:
+    """A state of the store; a later one is greater.
+
+    Attributes
+    ----------
+    era : int
+        How often the store has come back from an older copy.
+    number : int
+        Number of the last transaction. Numbers are given out again after a restore,
+        so that they identify a state only together with the era.
+    """
+
+    era: int = 0
+    number: int = 0
 
 
 @attrs.frozen
@@ -50,5 +67,5 @@
 
     rows: list[Row]
     has_more: bool
-    version: int
+    version: StoreVersion
     clock_s: float
--- a/bronzesail/model/_types.py
+++ b/bronzesail/model/_types.py
@@ -156,7 +156,8 @@
     """What a backend server's headers say of its answer and of the server.
 
     `is_leaving` is set if the server will stop, `pause_s` if it wants no request from
-    this router for that many seconds. `malformed` names headers that were ignored.
+    this router for that many seconds. `store_era` is sent by the store only, and rises
+    whenever it comes back from an older copy. `malformed` names ignored headers.
     """
 
     status: int
@@ -170,6 +171,7 @@
     is_leaving: bool = False
     pause_s: float | None = None
     malformed: tuple[str, ...] = ()
+    store_era: int | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/bronzesail/platform/_answers.py
+++ b/bronzesail/platform/_answers.py
@@ -17,8 +17,9 @@
 }  # fmt: skip
 
 
-# What servers say of themselves; each may occur more than once.
-REPORT_HEADERS = {b"server-leaving", b"retry-after"}
+# What servers and the store say of themselves; each may occur more than once.
+REPORT_HEADERS = {b"server-leaving", b"retry-after", b"store-era"}
+MAX_ERA = 1_000_000_000  # The store's era rises by one with each restore.
 # Statuses that guarantee callers that the request was not and will not be executed.
 NOT_EXECUTED_STATUSES = {408, 421, 429, 503}
 # Overrides of the status of a refusal. The router sends a 4xx status only for requests
@@ -61,6 +62,7 @@
             passed_on=b"".join(self._lines),
             is_leaving=self._read_leaving(malformed),
             pause_s=self._read_pause_s(malformed) if status == 503 else None,
+            store_era=self._read_store_era(malformed),
             malformed=tuple(malformed),
         )
 
@@ -71,6 +73,19 @@
             malformed.append("Server-Leaving")
         return b"1" in values
 
+    def _read_store_era(self, malformed: list[str]) -> int | None:
+        """Return the era of the store, None if it is missing or not certain."""
+        values = set(self._values_by_name.get(b"store-era", []))
+        if not values:
+            return None
+        value = values.pop()
+        # A number of more digits than any era has would take long to convert.
+        is_number = value.isdigit() and len(value) <= len(str(MAX_ERA))
+        if values or not is_number or int(value) > MAX_ERA:
+            malformed.append("Store-Era")
+            return None
+        return int(value)
+
     def _read_pause_s(self, malformed: list[str]) -> float | None:
         """Return the longest time in Retry-After, None if there is no valid one."""
         longest_s = None
--- a/bronzesail/platform/_store.py
+++ b/bronzesail/platform/_store.py
@@ -8,8 +8,8 @@
 
 import msgspec
 
-from ..model import Row, RowsAnswer
-from ._fields import MalformedError, read_entries, read_int, read_text
+from ..model import Row, RowsAnswer, StoreVersion
+from ._fields import MalformedError, read_entries, read_int, read_text, read_texts
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -75,29 +75,55 @@
         }
         return b"GET", b"/rows-feed?" + urlencode(query).encode("ascii"), b"", b""
 
-    def decode_rows(self, body: bytes) -> RowsAnswer:
-        """Decode a response that holds rows.
+    def encode_list_parts(
+        self, table: str, after: str
+    ) -> tuple[bytes, bytes, bytes, bytes]:
+        """Encode a read of the names of a table's parts that follow `after`."""
+        query = {"table": table}
+        if after:
+            # "sinceRev" is not a version here but the last name of the page before.
+            query["sinceRev"] = after
+        return b"GET", b"/rows-parts?" + urlencode(query).encode("ascii"), b"", b""
+
+    def decode_parts(self, body: bytes) -> tuple[tuple[str, ...], bool]:
+        """Return the names of a response's parts, and whether there are more.
+
+        Raises
+        ------
+        ValueError
+            If the response is malformed.
+        """
+        fields = _decode_object(body)
+        return read_texts(fields, "parts"), fields.get("hasMore") is True
+
+    def decode_rows(self, body: bytes, era: int) -> RowsAnswer:
+        """Decode a response that holds rows, which the store sent in an era.
 
         Raises
         ------
         ValueError
             If the response is malformed.
         """
-        try:
-            fields = msgspec.json.decode(body)
-        except msgspec.DecodeError as error:
-            raise MalformedError(str(error)) from error
-        if not isinstance(fields, dict):
-            raise MalformedError("the response is not a JSON object")
+        fields = _decode_object(body)
         return RowsAnswer(
             rows=[_decode_row(entry) for entry in read_entries(fields, "rows")],
             has_more=fields.get("hasMore") is True,
-            version=read_int(fields, "rowVersion", 0),
+            version=StoreVersion(era, read_int(fields, "rowVersion", 0)),
             # "nowMs" is the store's monotonic clock, not the time of day.
             clock_s=read_int(fields, "nowMs", 0) / 1000,
         )
 
 
+def _decode_object(body: bytes) -> dict[str, Any]:
+    try:
+        fields = msgspec.json.decode(body)
+    except msgspec.DecodeError as error:
+        raise MalformedError(str(error)) from error
+    if not isinstance(fields, dict):
+        raise MalformedError("the response is not a JSON object")
+    return fields
+
+
 def _encode_key(key: RowKey) -> dict[str, str]:
     return {"table": key.table, "part": key.part, "key": key.key}
 
--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -15,7 +15,7 @@
 from ..platform import SETTINGS_PATH_VARIABLE, decode_settings
 from .admission_queue import AdmissionQueue
 from .answer_memory import AnswerMemory
-from .budget import BudgetBook, HolderRow
+from .budget import RESTORE_DEPTH_S, BudgetBook
 from .budget_keeper import BudgetKeeper
 from .caller import CallerConnection, CallerRequest
 from .client import ClientPool, ConnectError
@@ -41,6 +41,7 @@
 from .reservation_queue import ReservationQueue
 from .services import Services
 from .store import StoreClient, StoreError
+from .store_era import StoreEra
 from .watches import (
     MAX_BACKOFF,
     RETRY_S,
@@ -52,6 +53,7 @@
 if TYPE_CHECKING:
     from ..errors import Refusal
     from ..model import Configuration
+    from .budget_rows import HolderRow
 
 __all__ = ["Application", "main"]
 
@@ -98,6 +100,8 @@
         Start time of the process, in seconds on the clock of `read_clock`.
     log_descriptor : int
         File descriptor that log lines are written to; standard output by default.
+    restore_depth_s : float
+        Longest time that a copy is behind from which the store may be restored.
     """
 
     def __init__(
@@ -106,8 +110,10 @@
         settings_path: str,
         started_at: float,
         log_descriptor: int = 1,
+        restore_depth_s: float = RESTORE_DEPTH_S,
     ) -> None:
         self._started_at = started_at
+        self._restore_depth_s = restore_depth_s
         self._loop = loop
         self._settings_path = settings_path
         self._settings_text = _read_text(settings_path)
@@ -134,9 +140,11 @@
         self._holder_key = f"{settings.host}.{self.incarnation}"
         self._internal_address = (settings.ip, settings.internal_ports[0])
         address = f"{settings.ip}:{settings.internal_ports[0]}"
-        self.store = StoreClient(loop, settings)
+        self.era = StoreEra(self.log)
+        self.store = StoreClient(loop, settings, self.era, self.log)
         self.configuration = ConfigurationKeeper(self.log, self._apply_configuration)
         self.directory = Directory(loop.time)
+        self.era.subscribe(lambda _: self.directory.note_store_restored())
         self.placement = Placement(loop.time, settings.zone, settings.region_by_zone)
         self.line = AdmissionQueue(self.directory, self.placement)
         self.neighbourhood = Neighbourhood(
@@ -148,7 +156,12 @@
             self._internal_address,
         )
         self.book = BudgetBook(
-            settings.host, address, read_clock, settings.zone, settings.link_mbps
+            settings.host,
+            address,
+            read_clock,
+            settings.zone,
+            settings.link_mbps,
+            self._restore_depth_s,
         )
         self.keeper = BudgetKeeper(
             self.book,
@@ -161,6 +174,7 @@
             self._random,
             self._started_at,
         )
+        self.era.subscribe(self.keeper.begin_era)
         self.poison = PoisonList(loop.time, self.incarnation)
         self.peers = Peers(
             loop,
@@ -395,12 +409,15 @@
         withdrawals = self.directory.withdrawals
         set_state("servers_leaving", len(withdrawals.list_leaving()))
         set_state("servers_asked_for_pause", withdrawals.n_pauses)
+        set_state("store_era", self.era.current)
+        set_state("store_restores", self.era.n_restores)
         set_state("routers_counted", self.services.count_hosts() or 0)
         set_state("store_calls", self.store.calls)
         set_state("store_failures_in_a_row", self.store.failures_in_a_row)
         set_state("connections_opened", self.pool.n_opened)
         set_state("exchanges", len(self._exchanges))
         set_state("most_answer_bytes", self.services.answer_memory.peak_bytes)
+        set_state("rows_written_again", self.keeper.rows_written_again)
         set_state("tokens_reclaimed", self.keeper.reclaimed_tokens)
         set_state("log_lines_dropped", self.log.dropped)
 
@@ -501,12 +518,15 @@
             store_latency_s=self._get_store_latency_s(),
             config_store_version=self.configuration.store_version,
             directory_store_version=self.directory.store_version,
+            store_era=self.era.current,
             leaving=select_leaving(self.directory.withdrawals.list_new_leaving()),
             directory=f"{self.incarnation}.{self.directory.generation}",
         )
 
     def _process_hello(self, peer: Peer) -> None:
         """Record what a peer says of servers and fetch what it has newer."""
+        if peer.hello.store_era > self.era.current:
+            self.era.observe(peer.hello.store_era, peer.hello.host)
         if self.directory.merge_leaving(peer.hello.leaving):
             self.log.write(
                 "directory: servers leave by their own word",
@@ -700,19 +720,23 @@
         return file.read()
 
 
-def main(started_at: float) -> None:
+def main(started_at: float, restore_depth_s: float = RESTORE_DEPTH_S) -> None:
     """Run one router process until SIGTERM; SIGHUP reloads its settings.
 
     Parameters
     ----------
     started_at : float
         Start time of the process, in seconds on the clock of `read_clock`.
+    restore_depth_s : float
+        Longest time that a copy is behind from which the store may be restored.
     """
     path = os.environ[SETTINGS_PATH_VARIABLE]
 
     async def run() -> None:
         loop = asyncio.get_running_loop()
-        application = Application(loop, path, started_at)
+        application = Application(
+            loop, path, started_at, restore_depth_s=restore_depth_s
+        )
         loop.add_signal_handler(signal.SIGTERM, application.request_stop)
         loop.add_signal_handler(signal.SIGHUP, application.reload_settings)
         await application.run()
--- a/bronzesail/router/budget.py
+++ b/bronzesail/router/budget.py
@@ -10,32 +10,31 @@
 then exceed the limit at no more than the overrun rate. The unspent tokens of a dead
 process are reclaimed: tokens held less the limit, less the overrun that was possible
 between the end of the lease and its death.
+
+The store may come back from an older copy, which begins a new era with rows of its own.
+What earlier eras have granted is computed by `carryover`. So that the copy shows every
+process that may have been granted tokens since, and bounds how many, a process takes
+none until its row has stood in the store for as long as a copy may be behind, and no
+more than a share of an account within any such time.
 """
 
 from __future__ import annotations
 
-import math
+from collections import deque
 from typing import TYPE_CHECKING
 
-import attrs
-import msgspec
+from .budget_rows import LEASE_S, Attempt, HolderRow, Holding, ReportRow
+from .carryover import Carryover
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Container, Iterable
 
-__all__ = [
-    "LEASE_S",
-    "AccountRow",
-    "Attempt",
-    "BudgetBook",
-    "HolderRow",
-    "Holding",
-    "reclaim",
-]
-
-# Covers the restart of a killed process: 1.5 s until it is started again, 0.45 s until
-# it runs, and one renewal period.
-LEASE_S = 2.3
+__all__ = ["RESTORE_DEPTH_S", "WINDOW_SHARE", "BudgetBook"]
+
+# The longest time that a copy of the store is assumed to be behind.
+RESTORE_DEPTH_S = 8.0
+# Share of an account's prepaid tokens that one process may acquire in that time.
+WINDOW_SHARE = 0.25
 # Demand that the limit allows for beyond the tokens spent. It is lost if the process
 # dies; during a store outage, requests beyond it wait until the lease has expired.
 LIMIT_AHEAD_S = 1.1
@@ -68,88 +67,6 @@
 REFILL_SHARE = 0.5
 
 
-class AccountRow(msgspec.Struct):
-    """Row of the store for one client account."""
-
-    out: int  # Tokens granted to all router processes together.
-
-
-class HolderRow(msgspec.Struct):
-    """Row of the store for one router process."""
-
-    host: str
-    address: str
-    started_s: float  # By the store's clock.
-    stamp_s: float  # By the store's clock; the start of the lease.
-    sequence: int
-    # Account to tokens held, spending limit and overrun rate in tokens per second.
-    held: dict[str, tuple[int, int, int]]
-    zone: str = ""
-    link_mbps: float = 0.0
-
-
-@attrs.define(kw_only=True)
-class Holding:
-    """Tokens of one account that this process holds, and the demand for them."""
-
-    granted: int = 0  # Acquired from the store, less returned tokens.
-    received: int = 0  # Transferred from other routers.
-    transferred: int = 0  # Transferred to other routers.
-    settled: int = 0  # Charged to requests that have ended.
-    reserved: int = 0  # Set aside for requests in progress.
-    demand_per_s: float = 0.0  # Decaying average of the tokens reserved per second.
-    largest_request: float = 0.0  # Decaying size of the largest request.
-    average_request: float = 0.0  # Average size of a request.
-    unused_share: float = 0.0  # Average share of a reservation that is not used.
-    total_granted: int = 0  # `AccountRow.out` as last read.
-    version: int = 0  # Version of the account's row as last read.
-    pending_demand: int = 0  # Tokens that waiting requests need.
-    pending_until: float = -1e9
-    # Whether the store has granted tokens before. Without it, an initial grant that
-    # was returned unused would be acquired again.
-    has_been_granted: bool = False
-
-    @property
-    def held(self) -> int:
-        """Tokens acquired in total, including spent ones."""
-        return self.granted + self.received
-
-    @property
-    def spent(self) -> int:
-        """Tokens settled, reserved or transferred to other routers."""
-        return self.transferred + self.settled + self.reserved
-
-    @property
-    def expected_free(self) -> int:
-        """Free tokens, and those that requests in progress are expected to release."""
-        return max(0, self.free) + int(self.reserved * self.unused_share)
-
-    @property
-    def free(self) -> int:
-        """Tokens held and not spent, regardless of the spending limit."""
-        return self.held - self.spent
-
-
-@attrs.define(kw_only=True)
-class Attempt:
-    """One transaction on this process's row.
-
-    Its outcome is in doubt until the store's answer or a later read of the row
-    resolves it.
-    """
-
-    base_version: int  # Version of this process's row that the transaction expects.
-    row: HolderRow
-    grants: dict[str, int]  # Tokens acquired by account; negative if returned.
-    accounts: dict[str, tuple[int, int]]  # Expected row version and new `out`.
-    stamped_at: float  # Local time of the row's timestamp.
-    is_final: bool = False  # Whether the transaction removes the row.
-    # Tokens taken over from a dead process's row, by account.
-    reclaimed: dict[str, int] = attrs.field(factory=dict)
-    # `Holding.received` of each account when the transaction was planned.
-    received: dict[str, int] = attrs.field(factory=dict)
-
-
 class BudgetBook:
     """Token holdings of one router process, for all client accounts.
 
@@ -165,6 +82,16 @@
         The host's data centre.
     link_mbps : float
         Bandwidth of the host's link, in Mbit/s.
+    restore_depth_s : float
+        Longest time that a copy is behind from which the store is restored; 0 for a
+        store that loses nothing that it has acknowledged.
+
+    Attributes
+    ----------
+    era : int
+        The store's era whose rows are written.
+    carryover : Carryover or None
+        What earlier eras have granted; None while it is unknown.
     """
 
     def __init__(
@@ -174,7 +101,16 @@
         now: Callable[[], float],
         zone: str = "",
         link_mbps: float = 0.0,
+        restore_depth_s: float = 0.0,
     ) -> None:
+        self._restore_depth_s = restore_depth_s
+        self.era = 0
+        self.carryover: Carryover | None = Carryover()
+        self._first_row_at: float | None = None  # Acknowledged without a gap since.
+        self._has_rows = False  # Whether a row was acknowledged in any era.
+        self._report: ReportRow | None = None
+        self._recent_grants: deque[tuple[float, dict[str, int]]] = deque()
+        self._allowances: dict[str, int] = {}
         self._zone = zone
         self._link_mbps = link_mbps
         self.host = host
@@ -199,6 +135,47 @@
     def set_prepaid(self, prepaid: dict[str, int]) -> None:
         """Set the prepaid tokens of each account from a new configuration."""
         self.prepaid = prepaid
+        for account, tokens in prepaid.items():
+            allowance = int(tokens * WINDOW_SHARE)
+            self._allowances[account] = max(allowance, self._allowances.get(account, 0))
+
+    @property
+    def allowances(self) -> dict[str, int]:
+        """Tokens that a process may take within `restore_depth_s`, by account.
+
+        An allowance stays when the prepaid tokens are reduced, since a process may
+        have used it before.
+        """
+        return dict(self._allowances)
+
+    def begin_era(self, era: int) -> None:
+        """Forget the rows of earlier eras, because the store was restored.
+
+        Grants in doubt are given up, and returns in doubt count as made: either may be
+        part of the copy that the store came back from.
+        """
+        if era <= self.era:
+            return
+        if self.is_closed:
+            self.reset()
+        self.era = era
+        self.carryover = None
+        self._unresolved.clear()
+        self._acknowledged = None
+        self.row_version = 0
+        self._first_row_at = None
+        for holding in self.holdings.values():
+            holding.granted_before_era = holding.granted_by_store
+            holding.total_granted = 0
+            holding.version = 0
+        if self._has_rows:
+            self._report = ReportRow(
+                {
+                    account: holding.granted_before_era
+                    for account, holding in self.holdings.items()
+                    if holding.granted_before_era
+                }
+            )
 
     def is_past_lease(self) -> bool:
         """Whether this process may spend beyond the limits of its row."""
@@ -239,7 +216,7 @@
             entry = attempt.row.held.get(account)
             if entry is None:
                 continue
-            _, limit, overrun_per_s = entry
+            _, limit, overrun_per_s, _ = entry
             past_lease_s = max(0.0, now - attempt.stamped_at - LEASE_S)
             received = holding.received - attempt.received.get(account, 0)
             bound = limit + received + int(overrun_per_s * past_lease_s)
@@ -373,16 +350,45 @@
         return holding.free / max(holding.demand_per_s, 1.0)
 
     def count_available(self, account: str) -> int:
-        """Return how many tokens the store can still grant, by the row last read."""
-        return self.prepaid.get(account, 0) - self.get_holding(account).total_granted
+        """Return how many tokens the store can certainly still grant.
+
+        This is by the account's row as last read.
+        """
+        earlier = 0 if self.carryover is None else self.carryover.most.get(account, 0)
+        total = self.get_holding(account).total_granted + earlier
+        return self.prepaid.get(account, 0) - total
+
+    def count_possibly_available(self, account: str) -> int:
+        """Return how many tokens are available if no unreported grants were made."""
+        earlier = 0 if self.carryover is None else self.carryover.known.get(account, 0)
+        total = self.get_holding(account).total_granted + earlier
+        return self.prepaid.get(account, 0) - total
+
+    def count_acquirable(self, account: str) -> int:
+        """Return how many of the available tokens this process may acquire now."""
+        if self.carryover is None:
+            return 0
+        available = max(0, self.count_available(account))
+        if not self._restore_depth_s:
+            return available
+        since = self.now() - self._restore_depth_s
+        if self._first_row_at is None or self._first_row_at > since:
+            return 0
+        while self._recent_grants and self._recent_grants[0][0] <= since:
+            self._recent_grants.popleft()
+        taken = sum(grants.get(account, 0) for _, grants in self._recent_grants)
+        for attempt in self._unresolved:
+            taken += max(0, attempt.grants.get(account, 0))
+        return max(0, min(available, self._allowances.get(account, 0) - taken))
 
     def plan_reclaim(self, tokens: dict[str, int]) -> Attempt:
         """Return the transaction that adds a dead process's tokens to this one's."""
-        held: dict[str, tuple[int, int, int]] = {}
+        held: dict[str, tuple[int, int, int, int]] = {}
         for account in {*self.holdings, *tokens}:
             holding = self.get_holding(account)
             total = holding.held + tokens.get(account, 0)
-            held[account] = (total, *self._plan_limit(holding, total))
+            limit, overrun_per_s = self._plan_limit(holding, total)
+            held[account] = (total, limit, overrun_per_s, holding.granted_in_era)
         return self._make_attempt({}, {}, held, is_final=False, reclaimed=tokens)
 
     def plan(
@@ -417,12 +423,13 @@
             self._stamped_at = self.now()
         accounts: dict[str, tuple[int, int]] = {}
         grants: dict[str, int] = {}
-        held: dict[str, tuple[int, int, int]] = {}
+        held: dict[str, tuple[int, int, int, int]] = {}
         for account, prepaid in self.prepaid.items():
             holding = self.get_holding(account)
             change = 0
             if changed is None or account in changed:
-                change = self._plan_change(holding, prepaid, router_count)
+                change = self._plan_change(account, holding, prepaid, router_count)
+                change = min(change, self.count_acquirable(account))
             elif account in released and self.count_spendable(account) < holding.free:
                 change = -holding.free
             if change < 0 and self._unresolved:
@@ -434,8 +441,9 @@
                 accounts[account] = (holding.version, holding.total_granted + change)
             total = holding.held + change
             limit, overrun_per_s = self._plan_limit(holding, total)
-            if total or limit:
-                held[account] = (total, limit, overrun_per_s)
+            in_era = holding.granted_in_era + change
+            if total or limit or in_era:
+                held[account] = (total, limit, overrun_per_s, in_era)
         return self._make_attempt(grants, accounts, held, is_final=False)
 
     def plan_return(self, *, is_final: bool) -> Attempt:
@@ -448,7 +456,7 @@
         """
         accounts: dict[str, tuple[int, int]] = {}
         grants: dict[str, int] = {}
-        held: dict[str, tuple[int, int, int]] = {}
+        held: dict[str, tuple[int, int, int, int]] = {}
         for account, holding in self.holdings.items():
             if holding.free > 0:
                 grants[account] = -holding.free
@@ -456,14 +464,15 @@
                     holding.version,
                     holding.total_granted - holding.free,
                 )
-            held[account] = (holding.spent, holding.spent, 0)
+            in_era = holding.granted_in_era - max(0, holding.free)
+            held[account] = (holding.spent, holding.spent, 0, in_era)
         return self._make_attempt(grants, accounts, held, is_final=is_final)
 
     def _make_attempt(
         self,
         grants: dict[str, int],
         accounts: dict[str, tuple[int, int]],
-        held: dict[str, tuple[int, int, int]],
+        held: dict[str, tuple[int, int, int, int]],
         *,
         is_final: bool,
         reclaimed: dict[str, int] | None = None,
@@ -481,6 +490,8 @@
             link_mbps=self._link_mbps,
         )
         attempt = Attempt(
+            era=self.era,
+            report=self._report if not self.row_version else None,
             base_version=self.row_version,
             row=row,
             grants=grants,
@@ -494,17 +505,21 @@
         for account, change in grants.items():
             if change < 0:
                 self.get_holding(account).granted += change
+                self.get_holding(account).granted_by_store += change
         self._unresolved.append(attempt)
         return attempt
 
-    def _plan_change(self, holding: Holding, prepaid: int, router_count: int) -> int:
+    def _plan_change(
+        self, account: str, holding: Holding, prepaid: int, router_count: int
+    ) -> int:
         """Return how many tokens to acquire for a holding; negative to return some."""
-        available = prepaid - holding.total_granted
-        if available < 0:
+        possible = self.count_possibly_available(account)
+        if possible < 0:
             # The prepaid amount was reduced below the tokens granted.
-            return -min(-available, max(0, holding.free))
+            return -min(-possible, max(0, holding.free))
+        available = max(0, self.count_available(account))
         demand = holding.demand_per_s
-        is_scarce = available < prepaid * SCARCE_SHARE
+        is_scarce = possible < prepaid * SCARCE_SHARE
         initial = int(prepaid * INITIAL_SHARE / router_count) if router_count else 0
         is_initial = not holding.has_been_granted and not is_scarce
         floor = max(initial if is_initial else 0, int(holding.largest_request))
@@ -546,12 +561,21 @@
         )
         return limit, int(overrun_per_s)
 
-    def apply(self, attempt: Attempt, version: int) -> None:
-        """Apply the effect of an attempt that is known to have been committed."""
+    def apply(self, attempt: Attempt, version: int) -> bool:
+        """Apply the effect of an attempt that is known to have been committed.
+
+        Returns
+        -------
+        bool
+            False if the attempt is of an earlier era and was given up.
+        """
+        if attempt.era != self.era:
+            return False
         for account, change in attempt.grants.items():
             holding = self.get_holding(account)
             if change > 0:
                 holding.granted += change
+                holding.granted_by_store += change
                 holding.has_been_granted = True
                 holding.pending_demand = 0
             if version >= holding.version:
@@ -564,6 +588,13 @@
         self.row_version = version
         self._acknowledged = attempt
         self._acknowledged_at = attempt.stamped_at
+        if self._first_row_at is None:
+            self._first_row_at = self.now()
+        self._has_rows = True
+        grants = {key: change for key, change in attempt.grants.items() if change > 0}
+        if grants:
+            self._recent_grants.append((self.now(), grants))
+        return True
 
     def reject(self, attempt: Attempt) -> None:
         """Undo an attempt that is known not to take effect, now or later."""
@@ -578,6 +609,7 @@
             for account, change in attempt.grants.items():
                 if change < 0:
                     self.get_holding(account).granted -= change
+                    self.get_holding(account).granted_by_store -= change
 
     def reconcile_own_row(self, row: HolderRow | None, version: int) -> bool:
         """Resolve the attempts in doubt by this process's row as read from the store.
@@ -606,6 +638,7 @@
         self._acknowledged = None
         self._unresolved.clear()
         self.row_version = 0
+        self._first_row_at = None
         self.is_closed = False
 
     def is_stamp_old(self) -> bool:
@@ -624,22 +657,3 @@
         if holding is None:
             holding = self.holdings[account] = Holding()
         return holding
-
-
-def reclaim(row: HolderRow, dead_by_s: float) -> dict[str, int]:
-    """Return the tokens that a dead process certainly did not spend, by account.
-
-    Parameters
-    ----------
-    row : HolderRow
-        The dead process's row.
-    dead_by_s : float
-        A time on the store's clock by which the process was dead.
-    """
-    past_lease_s = max(0.0, dead_by_s - row.stamp_s - LEASE_S)
-    tokens = {}
-    for account, (held, limit, overrun_per_s) in row.held.items():
-        unspent = held - limit - math.ceil(overrun_per_s * past_lease_s)
-        if unspent > 0:
-            tokens[account] = unspent
-    return tokens
--- a/bronzesail/router/budget_keeper.py
+++ b/bronzesail/router/budget_keeper.py
@@ -8,29 +8,42 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import attrs
 import msgspec
 
 from ..model import RowCheck, RowKey, RowWrite
-from .budget import AccountRow, Attempt, BudgetBook, HolderRow, reclaim
-from .store import ConflictError, StoreError
+from .budget_rows import AccountRow, HolderRow, ReportRow, reclaim
+from .carryover import EraCopy, compute_carryover, list_unreported
+from .store import ConflictError, EraChangedError, StoreError
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable, Container
 
     from ..model import Row
+    from .budget import BudgetBook
+    from .budget_rows import Attempt
     from .log import Log
     from .neighbourhood import Neighbourhood
     from .store import StoreClient
 
-__all__ = ["ACCOUNT_TABLE", "HOLDER_TABLE", "PART", "BudgetKeeper"]
+__all__ = [
+    "ACCOUNT_TABLE",
+    "HOLDER_TABLE",
+    "PART",
+    "REPORT_TABLE",
+    "BudgetKeeper",
+    "make_part",
+    "parse_part",
+]
 
 ACCOUNT_TABLE = "accounts"
 HOLDER_TABLE = "holders"
-PART = "budget"  # Partition of both tables; a transaction spans one partition only.
+REPORT_TABLE = "reports"
+# Partition of the tables in era 0; a transaction spans one partition only.
+PART = "budget"
 # Interval between renewals: several within the lease of 2.3 s, even if the answer to
 # one of them is lost.
 RENEWAL_INTERVAL_S = 0.25
@@ -55,9 +68,32 @@
 # more tokens than the requests in progress use.
 IDLE_INTERVAL_S = 2.0
 READ_INTERVAL_S = 4.0  # Between reads of the tables, to find tokens others returned.
+# Longest random delay of a router's first row after a restore of the store, in a fleet
+# whose routers would otherwise all write theirs at the same moment.
+REWRITE_SPREAD_S = 1.0
 RETRY_S = 0.3  # Interval between calls to a store that does not answer.
 
 
+T = TypeVar("T", AccountRow, HolderRow, ReportRow)
+
+
+def make_part(era: int) -> str:
+    """Return the partition with the rows of an era of the store.
+
+    >>> make_part(0), make_part(3)
+    ('budget', 'budget.3')
+    """
+    return f"{PART}.{era}" if era else PART
+
+
+def parse_part(part: str) -> int | None:
+    """Return the era whose rows are in a partition, None for another partition."""
+    if part == PART:
+        return 0
+    name, _, era = part.partition(".")
+    return int(era) if name == PART and era.isdigit() else None
+
+
 @attrs.define
 class _DeadProcess:
     """A process known to be dead whose tokens have not been reclaimed yet."""
@@ -121,6 +157,15 @@
         self.is_in_step = False
         self.reclaimed_tokens = 0
         self._process_started_at = started_at
+        self._earlier_eras: list[EraCopy] = []
+        self._has_unreported = False
+        self.rows_written_again = 0
+
+    def begin_era(self, era: int) -> None:
+        """Prepare for new rows, because the store was restored from an older copy."""
+        self.book.begin_era(era)
+        self._dead.clear()
+        self._renewal_requested.set()
 
     def request_renewal(self) -> None:
         """Request a renewal now, because a request waits for tokens."""
@@ -137,9 +182,13 @@
         await self._count_starting_hosts()
         read_at = self.book.now()
         while True:
+            if not self.book.row_version and self._neighbourhood.is_large:
+                # After a restore all routers write their rows again.
+                await asyncio.sleep(self._random.uniform(0, REWRITE_SPREAD_S))
             done = await self.renew()
             if done:
                 await self.reclaim_dead()
+                await self._update_carryover()
                 if self.book.now() - read_at > READ_INTERVAL_S:
                     read_at = self.book.now()
                     await self._read_tables()
@@ -180,13 +229,98 @@
     async def _read_tables(self) -> None:
         """Read the rows of all processes and accounts."""
         try:
-            accounts = await self._store.read_table(ACCOUNT_TABLE, PART)
+            accounts = await self._store.read_table(ACCOUNT_TABLE, self._part)
+            for row in accounts.rows:
+                self._update_account(row)
             await self.read_holders()
         except StoreError as error:
             self._log.write("budget: store does not answer", error=str(error))
+
+    @property
+    def _part(self) -> str:
+        """The partition with the rows of the current era."""
+        return make_part(self.book.era)
+
+    async def _update_carryover(self) -> None:
+        """Find out what earlier eras have granted, as far as this is not known yet.
+
+        A router that refills no accounts does not need to know.
+        """
+        if self.book.carryover is not None and not self._has_unreported:
             return
-        for row in accounts.rows:
-            self._update_account(row)
+        if self.book.carryover is None and not self._list_own_accounts():
+            return
+        try:
+            if self.book.carryover is None:
+                await self._read_earlier_eras()
+            await self._read_reports()
+        except StoreError as error:
+            self._log.write("budget: cannot read earlier eras", error=str(error))
+
+    async def _read_earlier_eras(self) -> None:
+        """Read the rows of all earlier eras."""
+        era = self.book.era
+        eras = [parse_part(p) for p in await self._store.list_parts(HOLDER_TABLE)]
+        self._earlier_eras = [
+            await self._read_era(earlier)
+            for earlier in sorted(e for e in eras if e is not None and e < era)
+        ]
+        if self.book.era != era:
+            raise EraChangedError
+
+    async def _read_era(self, era: int) -> EraCopy:
+        """Read the rows of an earlier era, all as of one moment.
+
+        A late transaction may still change them. Each one that matters changes an
+        account's row, so that these are the same before and after the other reads.
+        """
+        part = make_part(era)
+        accounts = await self._store.read_table(ACCOUNT_TABLE, part)
+        while True:
+            holders = await self._store.read_table(HOLDER_TABLE, part)
+            reports = await self._store.read_table(REPORT_TABLE, part)
+            again = await self._store.read_table(ACCOUNT_TABLE, part)
+            if again.rows == accounts.rows:
+                break
+            accounts = again
+        granted = {r.key: self._decode(r, AccountRow).out for r in accounts.rows}
+        by_process = {}
+        for row in holders.rows:
+            held = self._decode(row, HolderRow).held
+            by_process[row.key] = {name: entry[3] for name, entry in held.items()}
+        return EraCopy(
+            granted=granted,
+            by_process=by_process,
+            reports={r.key: self._decode(r, ReportRow).granted for r in reports.rows},
+        )
+
+    async def _read_reports(self) -> None:
+        """Read which processes have reported since the store was restored."""
+        era = self.book.era
+        answer = await self._store.read_table(REPORT_TABLE, self._part)
+        if self.book.era != era:
+            raise EraChangedError
+        reports = {r.key: self._decode(r, ReportRow).granted for r in answer.rows}
+        unreported = list_unreported(self._earlier_eras, reports)
+        self._has_unreported = bool(unreported)
+        self.book.carryover = compute_carryover(
+            self._earlier_eras, reports, self.book.allowances
+        )
+        self._log.write(
+            "budget: carryover of earlier eras",
+            era=era,
+            reported=len(reports),
+            unreported=sorted(unreported),
+            most=self.book.carryover.most,
+        )
+
+    @staticmethod
+    def _decode(row: Row, row_type: type[T]) -> T:
+        """Return a row's value; an unreadable one must not count as nothing spent."""
+        try:
+            return msgspec.json.decode(row.value, type=row_type)
+        except msgspec.DecodeError as error:
+            raise StoreError(f"row {row.key} is unreadable: {error}") from error
 
     def note_dead(
         self, key: str, row: HolderRow, version: int, dead_by_s: float
@@ -202,7 +336,7 @@
         StoreError
             If the store does not answer.
         """
-        row = await self._store.read_row(HOLDER_TABLE, PART, key)
+        row = await self._store.read_row(HOLDER_TABLE, self._part, key)
         if row is None:
             return None
         try:
@@ -220,7 +354,7 @@
             If the store does not answer.
         """
         started_at = self.book.now()
-        answer = await self._store.read_table(HOLDER_TABLE, PART)
+        answer = await self._store.read_table(HOLDER_TABLE, self._part)
         self._log.write(
             "budget: rows read",
             rows=len(answer.rows),
@@ -250,7 +384,11 @@
     async def load(self) -> bool:
         """Read all rows of accounts and processes; return whether it succeeded."""
         try:
-            accounts = await self._store.read_table(ACCOUNT_TABLE, PART)
+            era = self.book.era
+            accounts = await self._store.read_table(ACCOUNT_TABLE, self._part)
+            if self.book.era != era:
+                # The first answer has told the store's era.
+                accounts = await self._store.read_table(ACCOUNT_TABLE, self._part)
             holders = await self.read_holders()
         except StoreError as error:
             self._log.write("budget: store does not answer", error=str(error))
@@ -337,18 +475,7 @@
 
     async def _transact(self, attempt: Attempt) -> bool | None:
         """Commit an attempt; return whether it succeeded, None after a conflict."""
-        own = RowKey(HOLDER_TABLE, PART, self._key)
-        checks = [RowCheck(own, attempt.base_version)]
-        writes: list[RowWrite] = []
-        removals: list[RowKey] = []
-        if not attempt.is_final:
-            writes.append(RowWrite(own, msgspec.json.encode(attempt.row)))
-        elif attempt.base_version:
-            removals.append(own)
-        for account, (version, granted) in attempt.accounts.items():
-            key = RowKey(ACCOUNT_TABLE, PART, account)
-            checks.append(RowCheck(key, version))
-            writes.append(RowWrite(key, msgspec.json.encode(AccountRow(out=granted))))
+        checks, writes, removals = self._list_changes(attempt)
         try:
             version = await self._store.transact(checks, writes, removals)
         except ConflictError as error:
@@ -358,15 +485,43 @@
             if not error.is_unknown:
                 self.book.reject(attempt)
             return False
-        self.book.apply(attempt, version)
+        if not self.book.apply(attempt, version):
+            return False
+        if attempt.report is not None:
+            self.rows_written_again += 1
+            self._log.write("budget: row written again", era=attempt.era)
         if attempt.grants:
             self._log.write(
                 "budget: tokens moved", changes=attempt.grants, version=version
             )
         return True
 
+    def _list_changes(
+        self, attempt: Attempt
+    ) -> tuple[list[RowCheck], list[RowWrite], list[RowKey]]:
+        """Return the checks, writes and removals of an attempt's transaction."""
+        part = make_part(attempt.era)
+        own = RowKey(HOLDER_TABLE, part, self._key)
+        checks = [RowCheck(own, attempt.base_version)]
+        writes: list[RowWrite] = []
+        removals: list[RowKey] = []
+        if not attempt.is_final:
+            writes.append(RowWrite(own, msgspec.json.encode(attempt.row)))
+        elif attempt.base_version:
+            removals.append(own)
+        for account, (version, granted) in attempt.accounts.items():
+            key = RowKey(ACCOUNT_TABLE, part, account)
+            checks.append(RowCheck(key, version))
+            writes.append(RowWrite(key, msgspec.json.encode(AccountRow(out=granted))))
+        if attempt.report is not None:
+            key = RowKey(REPORT_TABLE, part, self._key)
+            writes.append(RowWrite(key, msgspec.json.encode(attempt.report)))
+        return checks, writes, removals
+
     def _handle_conflict(self, attempt: Attempt, rows: list[Row]) -> None:
         """Update this process's state from the rows that the store returned."""
+        if attempt.era != self.book.era:
+            return
         is_own_row_seen = False
         for row in rows:
             if row.table == ACCOUNT_TABLE:
@@ -418,9 +573,9 @@
         No account's row changes, so that refills of other routers do not conflict.
         """
         tokens = reclaim(dead.row, dead.dead_by_s)
-        own = RowKey(HOLDER_TABLE, PART, self._key)
-        key = RowKey(HOLDER_TABLE, PART, dead.key)
         attempt = self.book.plan_reclaim(tokens)
+        own = RowKey(HOLDER_TABLE, make_part(attempt.era), self._key)
+        key = RowKey(HOLDER_TABLE, make_part(attempt.era), dead.key)
         checks = [RowCheck(key, dead.version), RowCheck(own, attempt.base_version)]
         writes = [RowWrite(own, msgspec.json.encode(attempt.row))]
         try:
@@ -434,7 +589,8 @@
             if not error.is_unknown:
                 self.book.reject(attempt)
             raise
-        self.book.apply(attempt, version)
+        if not self.book.apply(attempt, version):
+            return
         self._dead.pop(dead.key, None)
         total = sum(tokens.values())
         self.reclaimed_tokens += total
@@ -442,7 +598,7 @@
             "budget: tokens reclaimed",
             key=dead.key,
             tokens=total,
-            held=sum(held for held, _, _ in dead.row.held.values()),
+            held=sum(entry[0] for entry in dead.row.held.values()),
             stamp_s=dead.row.stamp_s,
             dead_by_s=dead.dead_by_s,
         )
--- a/bronzesail/router/clocks.py
+++ b/bronzesail/router/clocks.py
@@ -32,6 +32,10 @@
         self._sent_at = sent_at
         self._received_at = received_at
 
+    def reset(self) -> None:
+        """Forget all timestamps, because the store may have another clock now."""
+        self._clock_s = None
+
     def read_earliest(self, at: float) -> float:
         """Return a lower bound of the store's clock at the local time `at`."""
         return (self._clock_s or 0.0) + at - self._received_at
--- a/bronzesail/router/directory.py
+++ b/bronzesail/router/directory.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from ..model import BackendServer
+from ..model import BackendServer, StoreVersion
 from .withdrawals import Withdrawals
 
 if TYPE_CHECKING:
@@ -19,6 +19,9 @@
 LAPSE_GRACE_S = 2.0
 # Time after the recovery during which a removal may be such an expiry.
 LAPSE_WINDOW_S = 2.0
+# How long the removal of an entry is remembered; copies of the store that it is
+# restored from are some seconds old.
+REMOVED_TTL_S = 60.0
 
 
 @attrs.frozen(kw_only=True)
@@ -27,7 +30,7 @@
 
     Attributes
     ----------
-    store_version : int
+    store_version : StoreVersion
         Version of the store up to which it is complete.
     servers : list of BackendServer
         The servers with an entry in the store.
@@ -39,7 +42,7 @@
         Start of the leaving life of each leaving server, in milliseconds by id.
     """
 
-    store_version: int
+    store_version: StoreVersion
     servers: list[BackendServer]
     lapsed: dict[str, float]
     leaving: dict[str, int] = attrs.field(factory=dict)
@@ -57,7 +60,7 @@
     ----------
     generation : int
         Number of changes so far.
-    store_version : int
+    store_version : StoreVersion
         Version of the store up to which the directory is complete.
     withdrawals : Withdrawals
         The servers that leave or pause by their own word.
@@ -69,11 +72,13 @@
         self._grace_ends: dict[str, float] = {}
         self._replaced: set[str] = set()
         self._store_recovered_at = -1e9
+        self._store_restored_at = -1e9
+        self._removed_lives: dict[str, tuple[int, float]] = {}  # Start, time by id.
         self.withdrawals = Withdrawals(now)
         self.generation = 0
-        self.store_version = 0
+        self.store_version = StoreVersion()
 
-    def note_version(self, store_version: int) -> None:
+    def note_version(self, store_version: StoreVersion) -> None:
         """Record that the directory is complete up to a version of the store."""
         self.store_version = max(self.store_version, store_version)
 
@@ -123,6 +128,15 @@
         self.generation += 1
         return True
 
+    def note_store_restored(self) -> None:
+        """Record that the store has come back from an older copy.
+
+        Entries written since that copy are missing until their servers write them
+        again, and removed ones are back.
+        """
+        self._store_recovered_at = self._now()
+        self._store_restored_at = self._now()
+
     def note_store_recovered(self) -> None:
         """Record that the store has just recovered from an outage."""
         self._store_recovered_at = self._now()
@@ -135,6 +149,9 @@
             return False
         if known is not None and known.born_ms > server.born_ms > 0:
             return False  # The entry precedes the last start of the server.
+        if server.is_draining and server.born_ms:
+            # The entry may be back at an earlier state after a restore of the store.
+            self.withdrawals.note_leaving(server.id, server.born_ms)
         self._servers[server.id] = server
         self._replaced.discard(server.id)
         self.generation += 1
@@ -170,10 +187,21 @@
         """Replace all entries and return the ids of the servers removed now."""
         listed = {server.id: server for server in servers}
         for server in listed.values():
-            self.put(server)
+            if not self._is_restored_removal(server):
+                self.put(server)
         missing = [key for key in self._servers if key not in listed]
         return [key for key in missing if self.remove(key)]
 
+    def _is_restored_removal(self, server: BackendServer) -> bool:
+        """Whether an entry was removed before and is back by a restore of the store.
+
+        A server that lives writes its entry again, which a watch reports.
+        """
+        if self._now() - self._store_restored_at >= LAPSE_WINDOW_S:
+            return False
+        born_ms, _ = self._removed_lives.get(server.id, (-1, 0.0))
+        return born_ms >= server.born_ms
+
     def expire(self) -> list[str]:
         """Remove the servers whose grace period is over and return their ids."""
         now = self._now()
@@ -217,5 +245,11 @@
         """Remove a server and its state."""
         self._grace_ends.pop(server_id, None)
         self._replaced.discard(server_id)
-        self._servers.pop(server_id, None)
+        server = self._servers.pop(server_id, None)
+        now = self._now()
+        for key, (_, removed_at) in list(self._removed_lives.items()):
+            if now - removed_at > REMOVED_TTL_S:
+                del self._removed_lives[key]
+        if server is not None:
+            self._removed_lives[server_id] = (server.born_ms, now)
         self.generation += 1
--- a/bronzesail/router/messages.py
+++ b/bronzesail/router/messages.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from ..model import StoreVersion
 from .poison import CrashCount  # noqa: TC001  Decoded at run time.
 
 if TYPE_CHECKING:
@@ -60,8 +61,9 @@
     has_lost_store: bool = False
     store_latency_s: float | None = None  # None if not known yet.
     # Versions of the store up to which configuration and directory are complete.
-    config_store_version: int = 0
-    directory_store_version: int = 0
+    config_store_version: StoreVersion = StoreVersion()
+    directory_store_version: StoreVersion = StoreVersion()
+    store_era: int = 0  # Newest that the sender knows.
     directory: str = ""  # Identifies the directory's state; differs after a change.
     # Start of the ending life, in milliseconds by id, of backend servers that leave;
     # those learned of last.
--- a/bronzesail/router/reservation_queue.py
+++ b/bronzesail/router/reservation_queue.py
@@ -221,6 +221,10 @@
             return ResultCode.BUDGET_UNREACHABLE
         if reachable + max(0, self._book.count_available(account)) >= tokens:
             return None
+        possible = self._book.count_possibly_available(account)
+        if reachable + max(0, possible) >= tokens:
+            # After a restore of the store it is not known yet what was granted.
+            return ResultCode.BUDGET_UNREACHABLE
         return reported or ResultCode.BUDGET_EXHAUSTED
 
     def _find_reported_code(self, account: str, tokens: int) -> ResultCode | None:
@@ -294,7 +298,7 @@
             return True
         if self._neighbourhood.rank_allocators(account):
             return False
-        return self._book.count_available(account) > 0
+        return self._book.count_acquirable(account) > 0
 
     async def _ask_peers(self, account: str, shortage: int, least: int) -> int:
         """Ask other routers for tokens; return how many arrived.
--- a/bronzesail/router/store.py
+++ b/bronzesail/router/store.py
@@ -15,9 +15,25 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from ..model import HostSettings, Row, RowCheck, RowKey, RowsAnswer, RowWrite
-
-__all__ = ["ConflictError", "HistoryLostError", "StoreClient", "StoreError"]
+    from ..model import (
+        HostSettings,
+        Row,
+        RowCheck,
+        RowKey,
+        RowsAnswer,
+        RowWrite,
+        StoreVersion,
+    )
+    from .log import Log
+    from .store_era import StoreEra
+
+__all__ = [
+    "ConflictError",
+    "EraChangedError",
+    "HistoryLostError",
+    "StoreClient",
+    "StoreError",
+]
 
 # A round trip across regions takes 60 ms; responses slowed 60 times take 0.4 s.
 CALL_TIMEOUT_S = 1.0
@@ -54,10 +70,21 @@
     """
 
 
+class EraChangedError(StoreError):
+    """Raised when an answer is of another era than its call.
+
+    A transaction of an earlier era has no effect on the rows of the current one.
+    """
+
+    def __init__(self) -> None:
+        super().__init__("the store was restored from an older copy", is_unknown=True)
+
+
 @attrs.frozen
 class _Reply:
     status: int
     body: bytes
+    era: int
     sent_at: float
     received_at: float
 
@@ -71,15 +98,29 @@
         The loop to run on.
     settings : HostSettings
         Holds the store's address; replaced when the settings file changes.
+    era : StoreEra
+        Is told the era of each answer.
+    log : Log
+        Log for malformed headers.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, settings: HostSettings) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        settings: HostSettings,
+        era: StoreEra,
+        log: Log,
+    ) -> None:
         self._loop = loop
+        self._log = log
+        self.era = era
+        era.subscribe(lambda _: self.clock.reset())
         self._pool = ClientPool(loop)
         self._wire = StoreWire()
         self.settings = settings
         self.clock = StoreClock()
         self.calls = 0
+        self.has_answered = False
         self.failures_in_a_row = 0
         # Moving average of writes, which drops to a lower value at once.
         self.latency_s = math.inf
@@ -107,7 +148,7 @@
         if reply.status != 200:
             is_unknown = reply.status not in (429, 503)
             raise StoreError(f"status {reply.status}", is_unknown=is_unknown)
-        return self._decode(reply).version
+        return self._decode(reply).version.number
 
     async def read_table(
         self, table: str, part: str = "", timeout_factor: int = 1
@@ -143,10 +184,30 @@
         rows = self._decode(reply).rows
         return rows[0] if rows and rows[0].key == key else None
 
+    async def list_parts(self, table: str) -> list[str]:
+        """Return the names of the parts of a table that have rows."""
+        parts: list[str] = []
+        while True:
+            encoded = self._wire.encode_list_parts(table, parts[-1] if parts else "")
+            reply = await self._call(encoded, CALL_TIMEOUT_S)
+            if reply.status != 200:
+                raise StoreError(f"status {reply.status}")
+            try:
+                page, has_more = self._wire.decode_parts(reply.body)
+            except ValueError as error:
+                raise StoreError(f"malformed response: {error}") from error
+            parts.extend(page)
+            if not has_more or not page:
+                return parts
+
     async def watch(
-        self, table: str, version: int, wait_s: float, timeout_factor: int = 1
+        self,
+        table: str,
+        since: StoreVersion,
+        wait_s: float,
+        timeout_factor: int = 1,
     ) -> RowsAnswer:
-        """Return the changes of a table after `version`, or none after `wait_s`.
+        """Return the changes of a table after `since`, or none after `wait_s`.
 
         The timeout that is added to `wait_s` is multiplied by `timeout_factor`.
 
@@ -154,10 +215,14 @@
         ------
         HistoryLostError
             If the store no longer has these changes.
+        EraChangedError
+            If the store was restored from an older copy since.
         StoreError
             If the call failed.
         """
-        encoded = self._wire.encode_watch(table, version, wait_s)
+        if since.era != self.era.current:
+            raise EraChangedError
+        encoded = self._wire.encode_watch(table, since.number, wait_s)
         reply = await self._call(encoded, wait_s + WATCH_MARGIN_S * timeout_factor)
         if reply.status == 410:
             raise HistoryLostError("change history is no longer available")
@@ -176,7 +241,7 @@
 
     def _decode(self, reply: _Reply) -> RowsAnswer:
         try:
-            answer = self._wire.decode_rows(reply.body)
+            answer = self._wire.decode_rows(reply.body, reply.era)
         except ValueError as error:
             raise StoreError(f"malformed response: {error}", is_unknown=True) from error
         if answer.clock_s:
@@ -195,6 +260,8 @@
             method, target, host, header_lines, length, body,
         )  # fmt: skip
         self.calls += 1
+        era = self.era.current
+        is_first = not self.has_answered
         sent_at = read_clock()
         connection = self._pool.acquire_idle(address)
         try:
@@ -216,8 +283,18 @@
             raise
         self._pool.release(connection)
         received_at = read_clock()
+        if head.malformed:
+            self._log.write("store: malformed header ignored", headers=head.malformed)
+        # An answer without an era is taken to be of the era that is known.
+        self.has_answered = True
+        if head.store_era is not None:
+            self.era.observe(head.store_era, "store")
+            if head.store_era != self.era.current:
+                raise EraChangedError
+        if self.era.current != era and not is_first:
+            raise EraChangedError
         if head.status >= 500 or head.status == 429:
             self.failures_in_a_row += 1
         else:
             self.failures_in_a_row = 0
-        return _Reply(head.status, answer, sent_at, received_at)
+        return _Reply(head.status, answer, self.era.current, sent_at, received_at)
--- a/bronzesail/router/watches.py
+++ b/bronzesail/router/watches.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from typing import TYPE_CHECKING, Protocol
 
+from ..model import StoreVersion
 from ..platform import (
     CONFIGURATION_ROW,
     SERVER_TABLE,
     decode_configuration,
     decode_server,
 )
-from .store import HistoryLostError, StoreError
+from .store import EraChangedError, HistoryLostError, StoreError
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -39,6 +41,8 @@
 # the retry interval.
 MAX_BACKOFF = 8
 STANDBY_POLL_S = 0.1  # Between checks whether another router still follows the store.
+# Longest random delay of a full read that changes of the store's history require.
+FULL_READ_SPREAD_S = 0.3
 # Interval of full reads, which detect a feed that has stopped reporting changes.
 FULL_READ_INTERVAL_S = 6.0
 
@@ -58,9 +62,10 @@
         self._log = log
         self._on_change = on_change
         self.current: Configuration | None = None
-        self.store_version = 0  # Of the store: no newer configuration up to it.
+        # Of the store: there is no newer configuration up to it.
+        self.store_version = StoreVersion()
 
-    def note_version(self, store_version: int) -> None:
+    def note_version(self, store_version: StoreVersion) -> None:
         """Record that the current configuration is the newest up to a version."""
         self.store_version = max(self.store_version, store_version)
 
@@ -96,9 +101,9 @@
 class _VersionedState(Protocol):
     """State that a watch keeps up to date with a table of the store."""
 
-    store_version: int
+    store_version: StoreVersion
 
-    def note_version(self, store_version: int) -> None:
+    def note_version(self, store_version: StoreVersion) -> None:
         """Record that the state is complete up to a version of the store."""
 
 
@@ -162,12 +167,15 @@
                 continue
             try:
                 await self._follow()
-            except HistoryLostError:
+            except (HistoryLostError, EraChangedError) as error:
                 self._needs_full_read = True
                 self._log.write(
                     "store: change history no longer available, reading table",
                     table=self.table,
+                    reason=str(error),
                 )
+                # All routers of the fleet learn of this at the same moment.
+                await asyncio.sleep(random.uniform(0, FULL_READ_SPREAD_S))
             except StoreError as error:
                 self._note_call_failure(str(error))
                 await asyncio.sleep(self._find_retry_s(self._failures))
@@ -175,7 +183,8 @@
     async def _follow(self) -> None:
         loop = asyncio.get_running_loop()
         wait_s = 0.0  # The first call returns at once and shows if the store responds.
-        if self._needs_full_read or not self._tracked_state.store_version:
+        is_new = self._tracked_state.store_version == StoreVersion()
+        if self._needs_full_read or is_new:
             await self._read_table()
         last_read_at = loop.time()
         while self._may_follow():
@@ -205,7 +214,8 @@
         self._log.write(
             "store: table read",
             table=self.table,
-            version=answer.version,
+            era=answer.version.era,
+            version=answer.version.number,
             rows=len(answer.rows),
             bytes=sum(len(row.value) for row in answer.rows),
             took_s=round(loop.time() - self._call_started_at, 3),
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -16,6 +16,7 @@
 
 from bronzesail.http import HttpServer, send_json
 from bronzesail.router.application import Application
+from bronzesail.router.budget_keeper import make_part
 from bronzesail.router.clocks import read_clock
 from bronzesail.standin import LinkPath, LinkStandin
 
@@ -60,6 +61,7 @@
         self.calls = 0
         self.tables_read = []
         self.failure = None
+        self.era = 0  # Announced in all answers from 1 on.
         self._changed = asyncio.Event()
         self._server = HttpServer(self._answer)
 
@@ -94,6 +96,18 @@
         self.log.clear()
         self.oldest = self.version
 
+    def copy(self):
+        """Return a copy that `restore` takes."""
+        return dict(self.rows), list(self.log), self.version
+
+    def restore(self, copy):
+        """Come back from a copy, as in a drill; versions are given out again."""
+        rows, log, self.version = copy
+        self.rows, self.log = dict(rows), list(log)
+        self.era += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _store(self, table, part, key, body):
         name = (table, part, key)
         if body is None:
@@ -108,19 +122,25 @@
         self.calls += 1
         if self.failure == "silent":
             await asyncio.sleep(3600)
+        era = (("Store-Era", str(self.era)),) if self.era else ()
         if self.failure == "busy":
-            await send_json(responder, 503, {})
+            await send_json(responder, 503, {}, era)
             return
         if request.path == "/rows-tx":
             status, body = self._transact(json.loads(request.body))
         elif request.path == "/rows-get":
             status, body = self._read(request)
+        elif request.path == "/rows-parts":
+            table = request.find_query("table")
+            parts = sorted({name[1] for name in self.rows if name[0] == table})
+            status, body = 200, {"parts": parts, "hasMore": False}
         else:
             status, body = await self._watch(request)
         if self.failure == "lost" and request.path == "/rows-tx":
             await asyncio.sleep(3600)
         body |= {"rowVersion": self.version, "nowMs": int(time.monotonic() * 1000)}
-        await send_json(responder, status, body)
+        era = (("Store-Era", str(self.era)),) if self.era else ()
+        await send_json(responder, status, body, era)
 
     def _transact(self, call):
         names = [(c["table"], c["part"], c["key"]) for c in call["expectedRev"]]
@@ -146,13 +166,13 @@
 
     async def _watch(self, request):
         table, since = request.find_query("table"), int(request.find_query("sinceRev"))
-        if since < self.oldest:
+        if since < self.oldest or since > self.version:
             return 410, {}
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(int(request.find_query("waitMs")) / 1000):
                 while not self._find_changes(table, since):
                     await self._changed.wait()
-        if since < self.oldest:
+        if since < self.oldest or since > self.version:
             return 410, {}
         return 200, {"rows": self._find_changes(table, since)}
 
@@ -384,7 +404,8 @@
                 "held": {},
                 "zone": "z2",
             }
-            self.store.put("holders", f"other-{number}.0", row, "budget")
+            part = make_part(self.store.era)
+            self.store.put("holders", f"other-{number}.0", row, part)
 
     def write_settings(
         self,
@@ -419,13 +440,15 @@
 """)
         return path
 
-    async def start_router(self, name, bounds="", store=None, link_mbps=1000):
+    async def start_router(
+        self, name, bounds="", store=None, link_mbps=1000, restore_depth_s=0.0
+    ):
         """Start a router in a task; its log goes to a file in the folder."""
         host = RouterAddresses.choose()
         path = self.write_settings(name, host, bounds, store, link_mbps)
         log = os.open(self._folder / f"{name}.log", os.O_CREAT | os.O_WRONLY)
         loop = asyncio.get_running_loop()
-        app = Application(loop, str(path), read_clock(), log)
+        app = Application(loop, str(path), read_clock(), log, restore_depth_s)
         task = asyncio.create_task(app.run())
         router = RunningRouter(app, task, host.ip, host.caller_port)
         self.routers.append(router)
--- a/tests/router_fakes.py
+++ b/tests/router_fakes.py
@@ -7,8 +7,8 @@
 
 import attrs
 
-from bronzesail.model import BackendServer, Row, RowsAnswer
-from bronzesail.router.store import ConflictError, StoreError
+from bronzesail.model import BackendServer, Row, RowKey, RowsAnswer, StoreVersion
+from bronzesail.router.store import ConflictError, EraChangedError, StoreError
 
 
 class CallOutcome(enum.Enum):
@@ -58,8 +58,19 @@
     def __init__(self):
         self.rows = {}
         self.version = 0
+        self.era = 0
         self.late = []
 
+    def copy(self):
+        """Return a copy that `restore` takes."""
+        return dict(self.rows), self.version
+
+    def restore(self, copy):
+        """Come back from a copy; versions are given out again."""
+        rows, self.version = copy
+        self.rows = dict(rows)
+        self.era += 1
+
     def conflicts(self, checks):
         """Return the checks whose row has another version."""
         return [
@@ -102,6 +113,15 @@
     rows: FakeRows
     clock: FakeClock
     modes: list = attrs.field(factory=list)
+    on_era: object = None  # Called with a new era.
+    era: int = 0  # Of the last answer.
+
+    def _note_era(self):
+        if self.rows.era == self.era:
+            return
+        self.era = self.rows.era
+        self.on_era(self.era)
+        raise EraChangedError
 
     async def transact(self, checks, writes, removals=()):
         """Execute a transaction with the next outcome; return the store's version."""
@@ -118,6 +138,7 @@
         done = not conflicts and self.rows.apply(*call)
         if mode is CallOutcome.LOST_AFTER:
             raise StoreError("lost", is_unknown=True)
+        self._note_era()
         if not done:
             found = [self._row(check.key) for check in checks]
             raise ConflictError([row for row in found if row is not None])
@@ -128,11 +149,25 @@
         mode = self.modes.pop(0) if self.modes else CallOutcome.OK
         if mode is not CallOutcome.OK:
             raise StoreError("lost", is_unknown=True)
-        rows = [self._row(key) for key in self.rows.rows if key.table == table]
+        self._note_era()
+        keys = [k for k in self.rows.rows if (k.table, k.part) == (table, part)]
         return RowsAnswer(
-            rows=rows, has_more=False, version=self.rows.version, clock_s=0.0
+            rows=[self._row(key) for key in keys],
+            has_more=False,
+            version=StoreVersion(self.rows.era, self.rows.version),
+            clock_s=0.0,
         )
 
+    async def read_row(self, table, part, key):
+        """Return one row, None if it does not exist."""
+        self._note_era()
+        return self._row(RowKey(table, part, key))
+
+    async def list_parts(self, table):
+        """Return the parts of a table."""
+        self._note_era()
+        return sorted({key.part for key in self.rows.rows if key.table == table})
+
     def _row(self, key):
         found = self.rows.rows.get(key)
         if found is None:
--- a/tests/router_soak.py
+++ b/tests/router_soak.py
@@ -22,6 +22,7 @@
 import attrs
 import h11
 
+from bronzesail.router.budget_keeper import make_part
 from bronzesail.router.neighbourhood import SMALL_FLEET
 from tests.endless_server import EndlessServer
 from tests.platform_standin import (
@@ -41,8 +42,10 @@
 N_EVENTS = 6  # Of a stream; each stands for 5 tokens.
 PROMPT_TOKENS, OUTPUT_TOKENS = 40, 30
 PREPAID = 15_000  # Most seeds use it up.
+FIRST_ERA = 1  # Of the store.
 RATIO, SLACK, WINDOW_S = 0.02, 4, 10.0
 FAULTS_S = 8.0
+RESTORE_DEPTH_S = 2.0  # Of the routers; the store comes back from younger copies.
 PATHS_BY_SERVICE = {"app": ("/book/", "/look/"), "llm": ("/chat/", "/talk/")}
 PATHS = ("/book/", "/look/", "/chat/", "/talk/")
 ONCE = ("/book/", "/chat/")
@@ -87,6 +90,8 @@
             sys.executable,
             "-m",
             "bronzesail.router",
+            "--restore-depth-s",
+            str(RESTORE_DEPTH_S),
             cwd=ROOT,
             env=environment,
             stdout=log,
@@ -122,6 +127,8 @@
         self.probed_at = []
         self.version = 1
         self.replaced = 0
+        self._is_restoring = False
+        self.deployment.store.era = FIRST_ERA
         self._ids = itertools.count(1)
         self._is_over = False
 
@@ -165,7 +172,9 @@
         await asyncio.gather(*(router.start() for router in self.routers))
         n_rows = self.n_routers + self.n_others
         await wait_until(
-            lambda: len(deployment.store.find("holders", "budget")) == n_rows
+            lambda: (
+                len(deployment.store.find("holders", make_part(FIRST_ERA))) == n_rows
+            )
         )
 
     def _make_configuration(self):
@@ -255,6 +264,7 @@
             self._stop,
             self._cut_store,
             self._fail_store,
+            self._restore_store,
             self._replace_server,
             self._drain_server,
             self._change_configuration,
@@ -291,6 +301,29 @@
         await asyncio.sleep(self.random.uniform(0.5, 3.0))
         self.deployment.store.failure = None
 
+    async def _restore_store(self):
+        """Let the store come back from a copy; its writers write again after a while.
+
+        Routers acquire no tokens for a while after it, so that it happens once.
+        """
+        store = self.deployment.store
+        if store.era > FIRST_ERA or self._is_restoring:
+            return
+        self._is_restoring = True
+        copy = store.copy()
+        await asyncio.sleep(self.random.uniform(0.1, RESTORE_DEPTH_S - 0.5))
+        store.failure = self.random.choice(["silent", "busy"])
+        await asyncio.sleep(self.random.uniform(0.05, 0.3))
+        store.failure = None
+        entries = store.find("servers")
+        store.restore(copy)
+        await asyncio.sleep(self.random.uniform(0.05, 0.5))
+        for name in set(store.find("servers")) - set(entries):
+            store.remove("servers", name)
+        for name, entry in entries.items():
+            store.put("servers", name, entry)
+        store.put("op", "config", self._make_configuration())
+
     async def _replace_server(self):
         """Let a server go on under a new id, which its entry tells late."""
         backend = self.random.choice(self.deployment.backends)
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -245,7 +245,7 @@
 @given(st.binary(max_size=60) | JSON.map(lambda value: json.dumps(value).encode()))
 def test_arbitrary_bytes_raise_only_value_errors_in_decode_rows(body):
     try:
-        StoreWire().decode_rows(body)
+        StoreWire().decode_rows(body, 0)
     except ValueError:
         pass
 
--- a/tests/test_router/test_budget.py
+++ b/tests/test_router/test_budget.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from bronzesail.router.budget import FULL_OVERRUN_S, LEASE_S, BudgetBook, reclaim
+from bronzesail.router.budget import FULL_OVERRUN_S, BudgetBook
+from bronzesail.router.budget_rows import LEASE_S, reclaim
 
 START_S = 100.0
 
@@ -48,7 +49,7 @@
     assert not fixture.book.is_past_lease()
     fixture.spend(fixture.book.count_spendable("a"))
     tokens = reclaim(in_doubt.row, fixture.time)
-    held, _, _ = in_doubt.row.held["a"]
+    held, _, _, _ = in_doubt.row.held["a"]
     assert fixture.count_spent() + tokens["a"] <= held
 
 
@@ -75,11 +76,11 @@
     fixture.time += 1.5
     fixture.book.decay_demand()
     in_doubt = fixture.plan()  # Committed, but the answer is lost.
-    _, limit, _ = in_doubt.row.held["a"]
+    _, limit, _, _ = in_doubt.row.held["a"]
     assert limit < before
     fixture.spend(fixture.book.count_spendable("a"))
     tokens = reclaim(in_doubt.row, fixture.time)
-    held, _, _ = in_doubt.row.held["a"]
+    held, _, _, _ = in_doubt.row.held["a"]
     assert fixture.count_spent() + tokens.get("a", 0) <= held
 
 
@@ -87,7 +88,7 @@
 def test_reclaim_after_the_lease_deducts_the_overrun(past_s):
     fixture = BudgetFixture()
     attempt = fixture.renew()
-    held, limit, overrun_per_s = attempt.row.held["a"]
+    held, limit, overrun_per_s, _ = attempt.row.held["a"]
     assert limit < held
     assert overrun_per_s > 0
     fixture.time += LEASE_S + past_s
@@ -101,7 +102,7 @@
 def test_all_held_tokens_become_spendable_after_the_lease():
     fixture = BudgetFixture()
     attempt = fixture.renew()
-    held, _, _ = attempt.row.held["a"]
+    held, _, _, _ = attempt.row.held["a"]
     fixture.time += LEASE_S + FULL_OVERRUN_S + 0.1
     assert fixture.book.count_spendable("a") == held
 
@@ -114,7 +115,7 @@
     known = fixture.renew()
     fixture.time += 1.5
     in_doubt = fixture.plan()  # Committed, but the answer is lost.
-    held, _, overrun_per_s = in_doubt.row.held["a"]
+    held, _, overrun_per_s, _ = in_doubt.row.held["a"]
     assert overrun_per_s < known.row.held["a"][2]
     fixture.time += LEASE_S + 0.3
     fixture.spend(max(0, fixture.book.count_spendable("a")))
@@ -254,7 +255,7 @@
     fixture = BudgetFixture()
     fixture.book.set_pending_demand("a", 100)
     attempt = fixture.renew()
-    held, limit, _ = attempt.row.held["a"]
+    held, limit, _, _ = attempt.row.held["a"]
     respawn_s, start_s, renewal_s = 1.5, 0.45, 0.3
     dead_by_s = attempt.row.stamp_s + renewal_s + respawn_s + start_s
     assert reclaim(attempt.row, dead_by_s) == {"a": held - limit}
@@ -275,6 +276,6 @@
     fixture.plan()  # Never committed.
     fixture.time += 0.5
     fixture.spend(fixture.book.count_spendable("a"))
-    held, limit, _ = known.row.held["a"]
+    held, limit, _, _ = known.row.held["a"]
     assert fixture.count_spent() == limit
     assert fixture.count_spent() + reclaim(known.row, fixture.time)["a"] <= held
--- a/tests/test_router/test_budget_machine.py
+++ b/tests/test_router/test_budget_machine.py
@@ -11,10 +11,10 @@
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from bronzesail.model import RowKey
 from bronzesail.router.budget import BudgetBook
-from bronzesail.router.budget_keeper import HOLDER_TABLE, PART, BudgetKeeper
+from bronzesail.router.budget_keeper import BudgetKeeper
 from bronzesail.router.neighbourhood import Neighbourhood
+from bronzesail.router.store import StoreError
 from tests.router_fakes import (
     CallOutcome,
     FakeClock,
@@ -27,6 +27,7 @@
 ACCOUNTS = ("a", "b")
 PREPAID = 1_000
 CLOCK_ERROR_S = 0.05
+RESTORE_DEPTH_S = 2.0
 HOST = st.sampled_from(HOSTS)
 ACCOUNT = st.sampled_from(ACCOUNTS)
 MODES = st.lists(st.sampled_from(list(CallOutcome)), max_size=6)
@@ -54,6 +55,7 @@
         self.consumed_tokens = dict.fromkeys(ACCOUNTS, 0)
         self.processes = {}
         self.numbers = itertools.count(1)
+        self.copies = [(self.time, self.rows.copy())]
         self.random = random.Random(7)
         for host in HOSTS:
             self.start(host, [])
@@ -67,7 +69,12 @@
             return
         number = next(self.numbers)
         key = f"{host}.{number}"
-        book = BudgetBook(host, "10.0.0.1:1", lambda: self.time)
+        book = BudgetBook(
+            host,
+            "10.0.0.1:1",
+            lambda: self.time,
+            restore_depth_s=RESTORE_DEPTH_S,
+        )
         book.set_prepaid(dict(self.prepaid))
         client = FakeStoreClient(
             self.rows, FakeClock(self.rows, CLOCK_ERROR_S), list(modes)
@@ -83,6 +90,7 @@
             self.random,
             self.time,
         )
+        client.on_era = keeper.begin_era
         self.processes[host] = Process(key, book, keeper, client)
         self.load(host)
 
@@ -103,6 +111,7 @@
         process.client.modes[:] = modes
         if self.run(process.keeper.renew()):
             self.run(process.keeper.reclaim_dead())
+            self.run(process.keeper._update_carryover())
         process.client.modes.clear()
 
     @rule(host=HOST, account=ACCOUNT, tokens=st.integers(1, 300))
@@ -158,19 +167,33 @@
         for account, tokens in process.reservations:
             self.consumed_tokens[account] += tokens
         for other in self.processes.values():
-            row_in_store = self.rows.rows.get(RowKey(HOLDER_TABLE, PART, process.key))
-            if row_in_store is None or not other.keeper.has_loaded:
+            if not other.keeper.has_loaded:
                 continue
             other.client.modes.clear()
-            holders = self.run(other.keeper.read_holders())
-            row, version = holders[process.key]
-            dead_by_s = self.time + CLOCK_ERROR_S
-            other.keeper.note_dead(process.key, row, version, dead_by_s)
+            try:
+                found = self.run(other.keeper.read_holder(process.key))
+            except StoreError:
+                continue  # The answer has told that the store was restored.
+            if found is not None:
+                dead_by_s = self.time + CLOCK_ERROR_S
+                other.keeper.note_dead(process.key, *found, dead_by_s)
 
     @rule(seconds=st.sampled_from((0.1, 0.5, 1.0, 2.0, 5.0)))
     def wait(self, seconds):
         self.time += seconds
 
+    @rule(index=st.integers(0, 1_000))
+    def restore(self, index):
+        """The store comes back from a copy that is up to `RESTORE_DEPTH_S` old."""
+        self.copies = [
+            (at, copy) for at, copy in self.copies if self.time - at <= RESTORE_DEPTH_S
+        ]
+        self.rows.restore(self.copies[index % len(self.copies)][1])
+
+    @invariant()
+    def copy_rows(self):
+        self.copies.append((self.time, self.rows.copy()))
+
     @rule()
     def land_late(self):
         self.rows.land_late()
@@ -205,7 +228,7 @@
 TestBudgetMachine.settings = settings(max_examples=300, stateful_step_count=60)
 
 N_WALKS = 120
-N_STEPS = 300
+N_STEPS = 450
 
 
 def draw_modes(generator):
@@ -214,7 +237,7 @@
     return [generator.choice(list(CallOutcome)) for _ in range(generator.randint(1, 3))]
 
 
-def take_step(machine, generator, failing):
+def take_step(machine, generator, failing, restoring):
     host = generator.choice(HOSTS)
     account = ACCOUNTS[0]
     modes = draw_modes(generator) if failing else []
@@ -233,12 +256,14 @@
         "load": lambda: machine.load(host),
         "stop": lambda: machine.stop(host, modes),
         "land late": machine.land_late,
+        "restore": lambda: machine.restore(generator.randint(0, 99)),
         "change": lambda: machine.change_prepaid(
             account, generator.choice((-300, 100))
         ),
         "configure": lambda: machine.take_configuration(host),
     }
-    weights = (400, 80, 240, 100, 60, 15, 40, 40, 10, 20, 5, 10)
+    restores = 5 if restoring else 0
+    weights = (400, 80, 240, 100, 60, 15, 40, 40, 10, 20, restores, 5, 10)
     steps[generator.choices(list(steps), weights)[0]]()
 
 
@@ -247,10 +272,12 @@
     generator = random.Random(seed)
     machine = BudgetMachine()
     failing = generator.random() < 0.7
+    restoring = generator.random() < 0.5
     for _ in range(N_STEPS):
         machine.is_never_overspent()
+        machine.copy_rows()
         machine.holds_its_own_invariant()
-        take_step(machine, generator, failing)
+        take_step(machine, generator, failing, restoring)
     return machine
 
 
--- a/tests/test_router/test_endless_answers.py
+++ b/tests/test_router/test_endless_answers.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from bronzesail.model import StoreVersion
 from bronzesail.platform import decode_settings
 from bronzesail.router import client
 from bronzesail.router.client import MAX_CALL_BYTES, ClientPool
@@ -22,6 +23,7 @@
 from bronzesail.router.poison import PoisonList
 from bronzesail.router.relay import MAX_COLLECTED_BYTES, MAX_EVENT_BYTES
 from bronzesail.router.store import StoreClient, StoreError
+from bronzesail.router.store_era import StoreEra
 from tests.endless_server import CAP_BYTES, EndlessServer
 from tests.platform_standin import (
     WAIT_TIMEOUT_S,
@@ -31,6 +33,7 @@
     make_configuration,
     wait_until,
 )
+from tests.router_fakes import RecordingLog
 
 CHUNK = b"x" * 65_536
 # Allowance for the socket buffers of both ends: bytes that the sender has written, but
@@ -117,10 +120,15 @@
         path = deployment.write_settings(
             "h1", RouterAddresses.choose(), store=f"{host}:{port}"
         )
+        log = RecordingLog()
         store = StoreClient(
-            asyncio.get_running_loop(), decode_settings(path.read_text())
+            asyncio.get_running_loop(),
+            decode_settings(path.read_text()),
+            StoreEra(log),
+            log,
         )
-        arguments = {"read_table": ("op",), "watch": ("op", 1, 0.1)}
+        since = StoreVersion(0, 1)
+        arguments = {"read_table": ("op",), "watch": ("op", since, 0.1)}
         with pytest.raises(StoreError):
             await getattr(store, call)(*arguments.get(call, ([], [])))
         await wait_until(lambda: not endless.open_connections)
@@ -164,7 +172,7 @@
     """
 
     version = 0
-    store_version = 0
+    store_version = StoreVersion()
     offered = ()
 
     def apply_if_newer(self, encoded, source):
--- a/tests/test_router/test_reservation_queue.py
+++ b/tests/test_router/test_reservation_queue.py
@@ -10,7 +10,8 @@
 import pytest
 
 from bronzesail.errors import ResultCode
-from bronzesail.router.budget import LEASE_S, BudgetBook
+from bronzesail.router.budget import BudgetBook
+from bronzesail.router.budget_rows import LEASE_S
 from bronzesail.router.messages import TokenRequest, TokenTransfer
 from bronzesail.router.neighbourhood import SMALL_FLEET, Neighbourhood
 from bronzesail.router.reservation_queue import ReservationQueue
--- a/tests/test_router/test_small_cores.py
+++ b/tests/test_router/test_small_cores.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from bronzesail.model import Engine
+from bronzesail.model import Engine, StoreVersion
 from bronzesail.router.directory import LAPSE_GRACE_S, Directory
 from bronzesail.router.log import MAX_PENDING_BYTES, Log
 from bronzesail.router.placement import (
@@ -78,12 +78,12 @@
     for directory in (first, second):
         directory.put(make_server("a"))
         directory.put(make_server("b"))
-        directory.note_version(10)
+        directory.note_version(StoreVersion(0, 10))
     second.remove("b")
-    second.note_version(11)
+    second.note_version(StoreVersion(0, 11))
     assert second.adopt(first.make_listing()) is None
     assert list_ids(second) == ["a"]
-    first.note_version(12)
+    first.note_version(StoreVersion(0, 12))
     assert second.adopt(first.make_listing()) == []
     assert list_ids(second) == ["a", "b"]
 
--- a/tests/test_router/test_watches.py
+++ b/tests/test_router/test_watches.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 
-from bronzesail.model import Row, RowsAnswer
+from bronzesail.model import Row, RowsAnswer, StoreVersion
 from bronzesail.platform import decode_server
 from bronzesail.router.directory import Directory
 from bronzesail.router.store import StoreError
@@ -41,12 +41,13 @@
     async def read_table(self, table, part="", timeout_factor=1):
         return await self.answers.get()
 
-    async def watch(self, table, version, wait_s, timeout_factor=1):
-        self.watched_versions.append(version)
+    async def watch(self, table, since, wait_s, timeout_factor=1):
+        self.watched_versions.append(since.number)
         return await self.answers.get()
 
 
-def answer(version, *rows):
+def answer(number, *rows, era=0):
+    version = StoreVersion(era, number)
     return RowsAnswer(rows=list(rows), has_more=False, version=version, clock_s=0.0)
 
 
@@ -70,7 +71,7 @@
         await wait_until(lambda: store.watched_versions)
         other_directory = Directory(loop.time)
         other_directory.put(decode_server("a", make_row("a", "draining", 9).value))
-        other_directory.note_version(9)
+        other_directory.note_version(StoreVersion(0, 9))
         assert directory.adopt(other_directory.make_listing()) == []
         store.answers.put_nowait(answer(7, make_row("a", "ready", 7)))
         await wait_until(lambda: len(store.watched_versions) == 2)
--- a/tests/test_router/test_withdrawals.py
+++ b/tests/test_router/test_withdrawals.py
@@ -10,6 +10,9 @@
 import pytest
 
 from bronzesail.platform import AnswerHeadReader
+from bronzesail.router.admission_queue import AdmissionQueue
+from bronzesail.router.directory import Directory
+from bronzesail.router.placement import Placement, Work
 from bronzesail.router.withdrawals import (
     MAX_PAUSE_S,
     MIN_RAMP_SHARE,
@@ -18,6 +21,7 @@
     Withdrawals,
 )
 from tests.platform_standin import (
+    WAIT_TIMEOUT_S,
     Deployment,
     echo_body,
     make_configuration,
@@ -367,6 +371,29 @@
     run_deployment(tmp_path, scenario)
 
 
+def test_a_queued_request_does_not_wait_for_the_end_of_a_longer_pause():
+    async def run():
+        loop = asyncio.get_running_loop()
+        directory = Directory(loop.time)
+        server = make_server("a", slots=1)
+        directory.put(server)
+        placement = Placement(loop.time, "z1", {"z1": "r1"})
+        for number in range(4):
+            placement.note_sent("a", Work(), number)
+        queue = AdmissionQueue(directory, placement)
+        deadline = loop.time() + 10 * WAIT_TIMEOUT_S
+        search = asyncio.create_task(
+            queue.find_server("s", Work(), None, [], 1, deadline)
+        )
+        await wait_until(lambda: queue.count_waiting("s"))
+        ends_at = directory.withdrawals.note_pause(server, 20 * WAIT_TIMEOUT_S)
+        queue.note_pause("s", ends_at)
+        async with asyncio.timeout(WAIT_TIMEOUT_S):
+            assert await search is None
+
+    asyncio.run(run())
+
+
 # All requests that waited were sent at the moment at which the pause ended.
 def test_waiting_requests_are_sent_gradually_after_a_pause(tmp_path):
     n_requests = 24
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -56,6 +56,8 @@
 WITHDRAWAL_TESTS = "tests/test_router/test_withdrawals.py"
 HELLO_TESTS = "tests/test_router/test_large_fleet.py"
 
+RESTORE_TESTS = "tests/test_router/test_store_restore.py"
+
 MUTANTS = (
     Mutant(
         "a claim of another router counts as the own one",
@@ -399,6 +401,69 @@
         "if True:",
         HELLO_TESTS,
     ),
+    Mutant(
+        "rows of all eras stand in one partition",
+        "bronzesail/router/budget_keeper.py",
+        'return f"{PART}.{era}" if era else PART',
+        "return PART",
+        RESTORE_TESTS,
+    ),
+    Mutant(
+        "processes that have not reported count as known",
+        "bronzesail/router/carryover.py",
+        "    _add(most, allowances, factor=n_unreported)\n",
+        "",
+        RESTORE_TESTS,
+    ),
+    Mutant(
+        "a report does not replace what the copy has",
+        "bronzesail/router/carryover.py",
+        "_add(total, copy.by_process.get(key, {}), factor=-1)",
+        "pass",
+        RESTORE_TESTS,
+    ),
+    Mutant(
+        "a watch goes on from a version of an earlier era",
+        "bronzesail/router/store.py",
+        "if since.era != self.era.current:",
+        "if False:",
+        RESTORE_TESTS,
+    ),
+    Mutant(
+        "an earlier era replaces a later one",
+        "bronzesail/router/store_era.py",
+        "if era < self.current:",
+        "if False:",
+        RESTORE_TESTS,
+    ),
+    Mutant(
+        "a removed server comes back with the copy",
+        "bronzesail/router/directory.py",
+        "if not self._is_restored_removal(server):",
+        "if True:",
+        RESTORE_TESTS,
+    ),
+    Mutant(
+        "a draining server is ready again by an older entry",
+        "bronzesail/router/directory.py",
+        "if server.is_draining and server.born_ms:",
+        "if False:",
+        RESTORE_TESTS,
+    ),
+    Mutant(
+        "a router learns of a restore from the store alone",
+        "bronzesail/router/application.py",
+        "if peer.hello.store_era > self.era.current:",
+        "if False:",
+        RESTORE_TESTS,
+    ),
+    Mutant(
+        "a router that starts late ignores earlier eras",
+        "bronzesail/router/budget.py",
+        "        self.era = era\n        self.carryover = None\n",
+        "        self.era = era\n        self.carryover = Carryover()\n",
+        RESTORE_TESTS,
+    ),
 )
 
 
