router: a restarted process takes tokens at once; allowances are whole accounts

Change: the quarter is gone; a process that does not report counts as having taken the whole account. A process inherits the time for which the row of its host's process before it has stood, if it has replaced that row itself; then one of the two rows is in every copy. A stopped process leaves its row for its successor; the others remove it after 10 s, and leave the row of a killed one to its successor for 2 s. Reports name the processes whose rows were removed, with what they had.

--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -83,6 +83,8 @@
 HOLDER_CHECK_INTERVAL_S = 3.0
 # A peer is suspected after two missed hellos.
 HELLO_TIMEOUT_S = 0.9
+# Time in which a killed process is usually started again and has read its host's row.
+SUCCESSOR_START_S = 2.0
 SHARED_METRICS_PORT = 9464  # Named in deploy/system.toml.
 LISTEN_BACKLOG = 1024  # Connections that the kernel queues before they are accepted.
 
@@ -610,6 +612,8 @@
             )
             return
         detected_at = read_clock()
+        # The next process on the host replaces the row itself if it starts by then.
+        await asyncio.sleep(SUCCESSOR_START_S)
         try:
             found = await self.keeper.read_holder(peer.hello.holder_key)
         except StoreError as error:
--- a/bronzesail/router/budget.py
+++ b/bronzesail/router/budget.py
@@ -13,14 +13,13 @@
 
 The store may come back from an older copy, which begins a new era with rows of its own.
 What earlier eras have granted is computed by `carryover`. So that the copy shows every
-process that may have been granted tokens since, and bounds how many, a process takes
-none until its row has stood in the store for as long as a copy may be behind, and no
-more than a share of an account within any such time.
+process that may have been granted tokens since, a process takes none until its row has
+stood in the store for as long as a copy may be behind. It inherits the time for which
+the row of an earlier process of its host has stood, if it has replaced that row itself.
 """
 
 from __future__ import annotations
 
-from collections import deque
 from typing import TYPE_CHECKING
 
 from .budget_rows import LEASE_S, Attempt, HolderRow, Holding, ReportRow
@@ -29,12 +28,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Container, Iterable
 
-__all__ = ["RESTORE_DEPTH_S", "WINDOW_SHARE", "BudgetBook"]
+__all__ = ["RESTORE_DEPTH_S", "BudgetBook"]
 
 # The longest time that a copy of the store is assumed to be behind.
 RESTORE_DEPTH_S = 8.0
-# Share of an account's prepaid tokens that one process may acquire in that time.
-WINDOW_SHARE = 0.25
+# How long it is remembered what ended processes had acquired; copies are younger.
+ENDED_MEMORY_S = 60.0
 # Demand that the limit allows for beyond the tokens spent. It is lost if the process
 # dies; during a store outage, requests beyond it wait until the lease has expired.
 LIMIT_AHEAD_S = 1.1
@@ -109,8 +108,9 @@
         self._first_row_at: float | None = None  # Acknowledged without a gap since.
         self._has_rows = False  # Whether a row was acknowledged in any era.
         self._report: ReportRow | None = None
-        self._recent_grants: deque[tuple[float, dict[str, int]]] = deque()
         self._allowances: dict[str, int] = {}
+        # Tokens granted to processes whose rows this one has removed, with the time.
+        self._ended: dict[str, tuple[float, dict[str, int]]] = {}
         self._zone = zone
         self._link_mbps = link_mbps
         self.host = host
@@ -136,15 +136,44 @@
         """Set the prepaid tokens of each account from a new configuration."""
         self.prepaid = prepaid
         for account, tokens in prepaid.items():
-            allowance = int(tokens * WINDOW_SHARE)
-            self._allowances[account] = max(allowance, self._allowances.get(account, 0))
+            self._allowances[account] = max(tokens, self._allowances.get(account, 0))
+
+    def inherit(self, first_row_age_s: float) -> None:
+        """Record that this process has replaced the row of its predecessor.
+
+        Parameters
+        ----------
+        first_row_age_s : float
+            Time for which the predecessor's row, and those that it had replaced, have
+            stood in the store at least.
+        """
+        first_row_at = self.now() - first_row_age_s
+        if self._first_row_at is not None:
+            self._first_row_at = min(self._first_row_at, first_row_at)
+
+    def note_ended(self, key: str, granted: dict[str, int]) -> None:
+        """Record what the store had granted to a process whose row was removed here."""
+        self._ended[key] = (self.now(), granted)
+
+    def _list_ended(self) -> dict[str, dict[str, int]]:
+        """Return the processes that a copy of the store may still show."""
+        since = self.now() - ENDED_MEMORY_S
+        return {
+            key: granted for key, (at, granted) in self._ended.items() if at > since
+        }
+
+    def _find_first_row_age_s(self) -> int:
+        """Return how long rows of this host had stood at the time of the stamp."""
+        if self._first_row_at is None:
+            return 0
+        return max(0, int(self._stamped_at - self._first_row_at))
 
     @property
     def allowances(self) -> dict[str, int]:
-        """Tokens that a process may take within `restore_depth_s`, by account.
+        """The most that a process may have acquired, by account.
 
-        An allowance stays when the prepaid tokens are reduced, since a process may
-        have used it before.
+        It stays when the prepaid tokens are reduced, since a process may have acquired
+        them before.
         """
         return dict(self._allowances)
 
@@ -174,8 +203,10 @@
                     account: holding.granted_before_era
                     for account, holding in self.holdings.items()
                     if holding.granted_before_era
-                }
+                },
+                self._list_ended(),
             )
+        self._ended.clear()
 
     def is_past_lease(self) -> bool:
         """Whether this process may spend beyond the limits of its row."""
@@ -374,12 +405,7 @@
         since = self.now() - self._restore_depth_s
         if self._first_row_at is None or self._first_row_at > since:
             return 0
-        while self._recent_grants and self._recent_grants[0][0] <= since:
-            self._recent_grants.popleft()
-        taken = sum(grants.get(account, 0) for _, grants in self._recent_grants)
-        for attempt in self._unresolved:
-            taken += max(0, attempt.grants.get(account, 0))
-        return max(0, min(available, self._allowances.get(account, 0) - taken))
+        return available
 
     def plan_reclaim(self, tokens: dict[str, int]) -> Attempt:
         """Return the transaction that adds a dead process's tokens to this one's."""
@@ -488,6 +514,9 @@
             held=held,
             zone=self._zone,
             link_mbps=self._link_mbps,
+            first_row_age_s=self._find_first_row_age_s(),
+            has_report=self._report is not None,
+            has_ended=is_final,
         )
         attempt = Attempt(
             era=self.era,
@@ -591,9 +620,6 @@
         if self._first_row_at is None:
             self._first_row_at = self.now()
         self._has_rows = True
-        grants = {key: change for key, change in attempt.grants.items() if change > 0}
-        if grants:
-            self._recent_grants.append((self.now(), grants))
         return True
 
     def reject(self, attempt: Attempt) -> None:
--- a/bronzesail/router/budget_keeper.py
+++ b/bronzesail/router/budget_keeper.py
@@ -71,6 +71,9 @@
 # Longest random delay of a router's first row after a restore of the store, in a fleet
 # whose routers would otherwise all write theirs at the same moment.
 REWRITE_SPREAD_S = 1.0
+CLOCK_ERROR_S = 0.5  # Of a time by the store's clock; a round trip takes 0.06 s.
+# Time in which the next process of a host replaces the row of a stopped one.
+SUCCESSOR_WAIT_S = 10.0
 RETRY_S = 0.3  # Interval between calls to a store that does not answer.
 
 
@@ -291,16 +294,25 @@
         return EraCopy(
             granted=granted,
             by_process=by_process,
-            reports={r.key: self._decode(r, ReportRow).granted for r in reports.rows},
+            reports=self._decode_reports(reports.rows),
         )
 
+    def _decode_reports(self, rows: list[Row]) -> dict[str, dict[str, int]]:
+        """Return what processes report of themselves and of those that had ended."""
+        decoded = {row.key: self._decode(row, ReportRow) for row in rows}
+        reports: dict[str, dict[str, int]] = {}
+        for report in decoded.values():
+            reports |= report.ended
+        # What a process reports of itself goes first.
+        return reports | {key: report.granted for key, report in decoded.items()}
+
     async def _read_reports(self) -> None:
         """Read which processes have reported since the store was restored."""
         era = self.book.era
         answer = await self._store.read_table(REPORT_TABLE, self._part)
         if self.book.era != era:
             raise EraChangedError
-        reports = {r.key: self._decode(r, ReportRow).granted for r in answer.rows}
+        reports = self._decode_reports(answer.rows)
         unreported = list_unreported(self._earlier_eras, reports)
         self._has_unreported = bool(unreported)
         self.book.carryover = compute_carryover(
@@ -369,8 +381,10 @@
                 self._log.write("budget: row unreadable", key=row.key, error=str(error))
                 continue
             holders[row.key] = (holder, row.version)
-            self._on_holder(holder)
-        hosts = {holder.host for holder, _ in holders.values()}
+            if not holder.has_ended:
+                self._on_holder(holder)
+        self._remove_ended(holders)
+        hosts = {h.host for h, _ in holders.values() if not h.has_ended}
         self._neighbourhood.note_rows_read(hosts)
         self.host_count = max(1, len(hosts))
         self.sharer_count = self.host_count
@@ -475,9 +489,9 @@
 
     async def _transact(self, attempt: Attempt) -> bool | None:
         """Commit an attempt; return whether it succeeded, None after a conflict."""
-        checks, writes, removals = self._list_changes(attempt)
+        checks, writes = self._list_changes(attempt)
         try:
-            version = await self._store.transact(checks, writes, removals)
+            version = await self._store.transact(checks, writes)
         except ConflictError as error:
             self._handle_conflict(attempt, error.rows)
             return None
@@ -496,19 +510,12 @@
             )
         return True
 
-    def _list_changes(
-        self, attempt: Attempt
-    ) -> tuple[list[RowCheck], list[RowWrite], list[RowKey]]:
-        """Return the checks, writes and removals of an attempt's transaction."""
+    def _list_changes(self, attempt: Attempt) -> tuple[list[RowCheck], list[RowWrite]]:
+        """Return the checks and writes of an attempt's transaction."""
         part = make_part(attempt.era)
         own = RowKey(HOLDER_TABLE, part, self._key)
         checks = [RowCheck(own, attempt.base_version)]
-        writes: list[RowWrite] = []
-        removals: list[RowKey] = []
-        if not attempt.is_final:
-            writes.append(RowWrite(own, msgspec.json.encode(attempt.row)))
-        elif attempt.base_version:
-            removals.append(own)
+        writes = [RowWrite(own, msgspec.json.encode(attempt.row))]
         for account, (version, granted) in attempt.accounts.items():
             key = RowKey(ACCOUNT_TABLE, part, account)
             checks.append(RowCheck(key, version))
@@ -516,7 +523,7 @@
         if attempt.report is not None:
             key = RowKey(REPORT_TABLE, part, self._key)
             writes.append(RowWrite(key, msgspec.json.encode(attempt.report)))
-        return checks, writes, removals
+        return checks, writes
 
     def _handle_conflict(self, attempt: Attempt, rows: list[Row]) -> None:
         """Update this process's state from the rows that the store returned."""
@@ -592,6 +599,7 @@
         if not self.book.apply(attempt, version):
             return
         self._dead.pop(dead.key, None)
+        self._note_removed(dead)
         total = sum(tokens.values())
         self.reclaimed_tokens += total
         self._log.write(
@@ -603,6 +611,24 @@
             dead_by_s=dead.dead_by_s,
         )
 
+    def _note_removed(self, dead: _DeadProcess) -> None:
+        """Remember what a removed row shows, and take its place on this host."""
+        row = dead.row
+        if not row.has_report:
+            granted = {account: entry[3] for account, entry in row.held.items()}
+            self.book.note_ended(dead.key, granted)
+        if row.host == self.book.host:
+            now_s = self._store.clock.read_earliest(self.book.now())
+            since_stamp_s = max(0.0, now_s - row.stamp_s - CLOCK_ERROR_S)
+            self.book.inherit(row.first_row_age_s + since_stamp_s)
+
+    def _remove_ended(self, holders: dict[str, tuple[HolderRow, int]]) -> None:
+        """Remove the rows of stopped processes that no successor has replaced."""
+        now_s = self._store.clock.read_earliest(self.book.now())
+        for key, (row, version) in holders.items():
+            if row.has_ended and now_s - row.stamp_s > SUCCESSOR_WAIT_S:
+                self.note_dead(key, row, version, row.stamp_s)
+
     @staticmethod
     def _is_gone(dead: _DeadProcess, rows: list[Row]) -> bool:
         """Whether the row was removed, or changed by its process, which is alive."""
--- a/bronzesail/router/budget_rows.py
+++ b/bronzesail/router/budget_rows.py
@@ -41,6 +41,11 @@
     held: dict[str, tuple[int, int, int, int]]
     zone: str = ""
     link_mbps: float = 0.0
+    # For how long, at the stamp, this row and those that it replaced have stood.
+    first_row_age_s: int = 0
+    has_report: bool = False  # Whether the process has a `ReportRow` in this era.
+    # Whether the process has stopped. Its successor on the host replaces the row.
+    has_ended: bool = False
 
 
 class ReportRow(msgspec.Struct):
@@ -48,6 +53,8 @@
 
     # Tokens that the store had granted to it, less those returned, by account.
     granted: dict[str, int]
+    # The same for processes whose rows it had removed, by their keys.
+    ended: dict[str, dict[str, int]] = {}
 
 
 @attrs.define(kw_only=True)
@@ -114,7 +121,7 @@
     grants: dict[str, int]  # Tokens acquired by account; negative if returned.
     accounts: dict[str, tuple[int, int]]  # Expected row version and new `out`.
     stamped_at: float  # Local time of the row's timestamp.
-    is_final: bool = False  # Whether the transaction removes the row.
+    is_final: bool = False  # Whether the process stops after it.
     # Tokens taken over from a dead process's row, by account.
     reclaimed: dict[str, int] = attrs.field(factory=dict)
     # `Holding.received` of each account when the transaction was planned.
--- a/tests/test_router/test_store_restore.py
+++ b/tests/test_router/test_store_restore.py
@@ -11,6 +11,7 @@
 from bronzesail.router.budget_keeper import make_part, parse_part
 from bronzesail.router.carryover import EraCopy, compute_carryover, list_unreported
 from bronzesail.router.directory import LAPSE_GRACE_S, Directory
+from bronzesail.router.store import EraChangedError
 from bronzesail.router.store_era import StoreEra
 from tests.platform_standin import (
     Deployment,
@@ -309,3 +310,40 @@
         assert await spend_all(deployment, routers, 3) == 3
 
     run_deployment(tmp_path, scenario, era=0)
+
+
+# A router that learns of the restore from another one has versions of the earlier era
+# when it reaches the store again.
+def test_a_watch_does_not_go_on_from_a_version_of_an_earlier_era(tmp_path):
+    async def scenario(deployment):
+        (router,) = await start_ready(deployment, "h1")
+        store = router.app.store
+        since = StoreVersion(1, deployment.store.version)
+        assert (await store.watch("servers", since, 0.0)).rows == []
+        router.app.era._listeners.clear()
+        router.app.era.observe(2, "h2")
+        deployment.store.era = 2
+        with pytest.raises(EraChangedError):
+            await store.watch("servers", since, 0.0)
+
+    run_deployment(tmp_path, scenario)
+
+
+def test_the_rows_of_a_stopped_process_are_replaced_by_its_successor(tmp_path):
+    async def scenario(deployment):
+        (first,) = await start_ready(deployment, "h1", restore_depth_s=0.2)
+        await wait_until(lambda: first.app.book.count_acquirable("acme") > 0)
+        await first.stop()
+        (left,) = deployment.store.find("holders", make_part(1))
+        (second,) = await start_ready(deployment, "h1", restore_depth_s=1000.0)
+        await wait_until(lambda: second.app.book._ended)
+        assert left not in deployment.store.find("holders", make_part(1))
+        # It does not inherit more than the time for which the row has stood.
+        assert second.app.book.count_acquirable("acme") == 0
+        assert second.app.book._first_row_at < second.app._started_at
+        deployment.store.restore(deployment.store.copy())
+        await wait_until(lambda: deployment.store.find("reports", make_part(2)))
+        (report,) = deployment.store.find("reports", make_part(2)).values()
+        assert list(report["ended"]) == [left]
+
+    run_deployment(tmp_path, scenario)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -464,6 +464,20 @@
         "        self.era = era\n        self.carryover = Carryover()\n",
         RESTORE_TESTS,
     ),
+    Mutant(
+        "a successor does not report what the process before it had",
+        "bronzesail/router/budget_keeper.py",
+        "            self.book.note_ended(dead.key, granted)\n",
+        "            pass\n",
+        RESTORE_TESTS,
+    ),
+    Mutant(
+        "a successor inherits any time",
+        "bronzesail/router/budget.py",
+        "first_row_at = self.now() - first_row_age_s",
+        "first_row_at = self.now() - 1e9",
+        RESTORE_TESTS,
+    ),
 )
 
 
