router: a stopping process renews its row no more

Cause: background tasks that were not ended yet (a stop that found nothing to do took 2.3 s, and tasks ended after 3 s) could renew the row after the transaction that marks it as ended, so that no successor would have replaced it. Seen in test_the_rows_of_a_stopped_process_are_replaced_by_its_successor: the stopped process wrote a row in the next era.

Change: all tasks end before the last transaction.

--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -680,6 +680,9 @@
         self._close_idle_callers()
         for server in self._servers:
             server.close()
+        # A later renewal would replace the row that says that this process has ended.
+        for task in self._tasks:
+            task.cancel()
         await self._return_tokens(is_final=True)
         self._log_holdings()
         self.log.write("router: stopped", cut=len(self._exchanges))
