--- a/bronzesail/explain/_log_reader.py
+++ b/bronzesail/explain/_log_reader.py
@@ -115,10 +115,23 @@
     if outcome.startswith("server "):
         return f"The server answered with status {outcome.removeprefix('server ')}."
     cause = CAUSES.get(outcome, f"The outcome was {outcome}.")
+    if any(_is_held_back(line) for line in request_lines):
+        cause += (
+            " The store had been restored from an older copy, and processes that had"
+            " not written their rows again may have acquired the rest."
+        )
     reasons = [line["reason"] for line in request_lines if line.get("reason")]
     return f"{cause} Last reason: {reasons[-1]}." if reasons else cause
 
 
+def _is_held_back(line: dict[str, Any]) -> bool:
+    """Whether tokens that the store's copy shows as left were withheld."""
+    left, possibly_left = line.get("left_in_store"), line.get("possibly_left")
+    if left is None or possibly_left is None:
+        return False
+    return bool(left < line.get("tokens", 0) <= possibly_left)
+
+
 def _is_relevant(line: dict[str, Any], servers: set[str], accounts: set[str]) -> bool:
     component = line["message"].partition(":")[0]
     if component not in CONTEXT_COMPONENTS or line["message"] == "budget: holdings":
--- a/bronzesail/router/reservation_queue.py
+++ b/bronzesail/router/reservation_queue.py
@@ -267,6 +267,9 @@
             peers_free=self._peers.count_free(account),
             past_lease=self._book.is_past_lease(),
             store_in_step=self._keeper.is_in_step,
+            era=self._book.era,
+            left_in_store=self._book.count_available(account),
+            possibly_left=self._book.count_possibly_available(account),
         )
         return Refusal(
             ResultCode.BUDGET_UNREACHABLE,
--- a/tests/test_explain/test_log_reader.py
+++ b/tests/test_explain/test_log_reader.py
@@ -8,7 +8,7 @@
 from typer.testing import CliRunner
 
 from bronzesail.cmd import app
-from bronzesail.explain import read_log_lines, trace_request
+from bronzesail.explain import describe_cause, read_log_lines, trace_request
 
 LINES = [
     {"time": 10.0, "host": "h1", "message": "store: lost", "table": "op"},
@@ -71,3 +71,17 @@
     path.write_text("\n".join(format_lines()))
     result = CliRunner().invoke(app, ["explain", "r7", "--log", str(path)])
     assert result.exit_code != 0
+
+
+def test_tokens_withheld_after_a_restore_of_the_store_are_the_cause():
+    unreachable = {
+        "message": "budget: unreachable",
+        "tokens": 100,
+        "left_in_store": 0,
+        "possibly_left": 400,
+        "era": 2,
+    }
+    ended = {"message": "request: ended", "outcome": "BZ1303"}
+    assert "restored from an older copy" in describe_cause([unreachable, ended])
+    unreachable["left_in_store"] = 400
+    assert "restored" not in describe_cause([unreachable, ended])
