router: reading earlier eras is a module of its own; few routers remove ended rows

budget_keeper held the reading of earlier eras, which only runs after a restore; names of tables and partitions stand with the rows. Nothing else changes.

--- a/bronzesail/router/budget_keeper.py
+++ b/bronzesail/router/budget_keeper.py
@@ -8,15 +8,23 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, TypeVar
+from typing import TYPE_CHECKING
 
 import attrs
 import msgspec
 
 from ..model import RowCheck, RowKey, RowWrite
-from .budget_rows import AccountRow, HolderRow, ReportRow, reclaim
-from .carryover import EraCopy, compute_carryover, list_unreported
-from .store import ConflictError, EraChangedError, StoreError
+from .budget_rows import (
+    ACCOUNT_TABLE,
+    HOLDER_TABLE,
+    REPORT_TABLE,
+    AccountRow,
+    HolderRow,
+    make_part,
+    reclaim,
+)
+from .earlier_eras import EarlierEras
+from .store import ConflictError, StoreError
 
 if TYPE_CHECKING:
     import random
@@ -29,21 +37,8 @@
     from .neighbourhood import Neighbourhood
     from .store import StoreClient
 
-__all__ = [
-    "ACCOUNT_TABLE",
-    "HOLDER_TABLE",
-    "PART",
-    "REPORT_TABLE",
-    "BudgetKeeper",
-    "make_part",
-    "parse_part",
-]
-
-ACCOUNT_TABLE = "accounts"
-HOLDER_TABLE = "holders"
-REPORT_TABLE = "reports"
-# Partition of the tables in era 0; a transaction spans one partition only.
-PART = "budget"
+__all__ = ["BudgetKeeper"]
+
 # Interval between renewals: several within the lease of 2.3 s, even if the answer to
 # one of them is lost.
 RENEWAL_INTERVAL_S = 0.25
@@ -77,26 +72,6 @@
 RETRY_S = 0.3  # Interval between calls to a store that does not answer.
 
 
-T = TypeVar("T", AccountRow, HolderRow, ReportRow)
-
-
-def make_part(era: int) -> str:
-    """Return the partition with the rows of an era of the store.
-
-    >>> make_part(0), make_part(3)
-    ('budget', 'budget.3')
-    """
-    return f"{PART}.{era}" if era else PART
-
-
-def parse_part(part: str) -> int | None:
-    """Return the era whose rows are in a partition, None for another partition."""
-    if part == PART:
-        return 0
-    name, _, era = part.partition(".")
-    return int(era) if name == PART and era.isdigit() else None
-
-
 @attrs.define
 class _DeadProcess:
     """A process known to be dead whose tokens have not been reclaimed yet."""
@@ -160,8 +135,7 @@
         self.is_in_step = False
         self.reclaimed_tokens = 0
         self._process_started_at = started_at
-        self._earlier_eras: list[EraCopy] = []
-        self._has_unreported = False
+        self._earlier_eras = EarlierEras(book, store, log)
         self.rows_written_again = 0
 
     def begin_era(self, era: int) -> None:
@@ -249,91 +223,13 @@
 
         A router that refills no accounts does not need to know.
         """
-        if self.book.carryover is not None and not self._has_unreported:
-            return
         if self.book.carryover is None and not self._list_own_accounts():
             return
         try:
-            if self.book.carryover is None:
-                await self._read_earlier_eras()
-            await self._read_reports()
+            await self._earlier_eras.update()
         except StoreError as error:
             self._log.write("budget: cannot read earlier eras", error=str(error))
 
-    async def _read_earlier_eras(self) -> None:
-        """Read the rows of all earlier eras."""
-        era = self.book.era
-        eras = [parse_part(p) for p in await self._store.list_parts(HOLDER_TABLE)]
-        self._earlier_eras = [
-            await self._read_era(earlier)
-            for earlier in sorted(e for e in eras if e is not None and e < era)
-        ]
-        if self.book.era != era:
-            raise EraChangedError
-
-    async def _read_era(self, era: int) -> EraCopy:
-        """Read the rows of an earlier era, all as of one moment.
-
-        A late transaction may still change them. Each one that matters changes an
-        account's row, so that these are the same before and after the other reads.
-        """
-        part = make_part(era)
-        accounts = await self._store.read_table(ACCOUNT_TABLE, part)
-        while True:
-            holders = await self._store.read_table(HOLDER_TABLE, part)
-            reports = await self._store.read_table(REPORT_TABLE, part)
-            again = await self._store.read_table(ACCOUNT_TABLE, part)
-            if again.rows == accounts.rows:
-                break
-            accounts = again
-        granted = {r.key: self._decode(r, AccountRow).out for r in accounts.rows}
-        by_process = {}
-        for row in holders.rows:
-            held = self._decode(row, HolderRow).held
-            by_process[row.key] = {name: entry[3] for name, entry in held.items()}
-        return EraCopy(
-            granted=granted,
-            by_process=by_process,
-            reports=self._decode_reports(reports.rows),
-        )
-
-    def _decode_reports(self, rows: list[Row]) -> dict[str, dict[str, int]]:
-        """Return what processes report of themselves and of those that had ended."""
-        decoded = {row.key: self._decode(row, ReportRow) for row in rows}
-        reports: dict[str, dict[str, int]] = {}
-        for report in decoded.values():
-            reports |= report.ended
-        # What a process reports of itself goes first.
-        return reports | {key: report.granted for key, report in decoded.items()}
-
-    async def _read_reports(self) -> None:
-        """Read which processes have reported since the store was restored."""
-        era = self.book.era
-        answer = await self._store.read_table(REPORT_TABLE, self._part)
-        if self.book.era != era:
-            raise EraChangedError
-        reports = self._decode_reports(answer.rows)
-        unreported = list_unreported(self._earlier_eras, reports)
-        self._has_unreported = bool(unreported)
-        self.book.carryover = compute_carryover(
-            self._earlier_eras, reports, self.book.allowances
-        )
-        self._log.write(
-            "budget: carryover of earlier eras",
-            era=era,
-            reported=len(reports),
-            unreported=sorted(unreported),
-            most=self.book.carryover.most,
-        )
-
-    @staticmethod
-    def _decode(row: Row, row_type: type[T]) -> T:
-        """Return a row's value; an unreadable one must not count as nothing spent."""
-        try:
-            return msgspec.json.decode(row.value, type=row_type)
-        except msgspec.DecodeError as error:
-            raise StoreError(f"row {row.key} is unreadable: {error}") from error
-
     def note_dead(
         self, key: str, row: HolderRow, version: int, dead_by_s: float
     ) -> None:
@@ -623,7 +519,13 @@
             self.book.inherit(row.first_row_age_s + since_stamp_s)
 
     def _remove_ended(self, holders: dict[str, tuple[HolderRow, int]]) -> None:
-        """Remove the rows of stopped processes that no successor has replaced."""
+        """Remove the rows of stopped processes that no successor has replaced.
+
+        In a large fleet a few routers of each data centre do so.
+        """
+        is_large = self._neighbourhood.is_large
+        if is_large and not self._neighbourhood.is_follower_candidate():
+            return
         now_s = self._store.clock.read_earliest(self.book.now())
         for key, (row, version) in holders.items():
             if row.has_ended and now_s - row.stamp_s > SUCCESSOR_WAIT_S:
--- a/bronzesail/router/budget_rows.py
+++ b/bronzesail/router/budget_rows.py
@@ -8,20 +8,48 @@
 import msgspec
 
 __all__ = [
+    "ACCOUNT_TABLE",
+    "HOLDER_TABLE",
     "LEASE_S",
+    "PART",
+    "REPORT_TABLE",
     "AccountRow",
     "Attempt",
     "HolderRow",
     "Holding",
     "ReportRow",
+    "make_part",
+    "parse_part",
     "reclaim",
 ]
 
+ACCOUNT_TABLE = "accounts"
+HOLDER_TABLE = "holders"
+REPORT_TABLE = "reports"
+# Partition of the tables in era 0; a transaction spans one partition only.
+PART = "budget"
 # Covers the restart of a killed process: 1.5 s until it is started again, 0.45 s until
 # it runs, and one renewal period.
 LEASE_S = 2.3
 
 
+def make_part(era: int) -> str:
+    """Return the partition with the rows of an era of the store.
+
+    >>> make_part(0), make_part(3)
+    ('budget', 'budget.3')
+    """
+    return f"{PART}.{era}" if era else PART
+
+
+def parse_part(part: str) -> int | None:
+    """Return the era whose rows are in a partition, None for another partition."""
+    if part == PART:
+        return 0
+    name, _, era = part.partition(".")
+    return int(era) if name == PART and era.isdigit() else None
+
+
 class AccountRow(msgspec.Struct):
     """Row of the store for one client account."""
 
--- a/tests/model_check.py
+++ b/tests/model_check.py
@@ -22,9 +22,11 @@
 
 import attrs
 
-from bronzesail.router import budget_keeper, carryover
+from bronzesail.model import RowKey
+from bronzesail.router import budget_keeper, carryover, earlier_eras
 from bronzesail.router.budget import BudgetBook
 from bronzesail.router.budget_keeper import BudgetKeeper
+from bronzesail.router.budget_rows import ACCOUNT_TABLE, HOLDER_TABLE, PART
 from bronzesail.router.neighbourhood import Neighbourhood
 from tests.router_fakes import (
     CallOutcome,
@@ -131,6 +133,8 @@
         client.rows = self.rows
         keeper = copy.copy(process.keeper)
         keeper.book, keeper._store = book, client
+        keeper._earlier_eras = copy.copy(keeper._earlier_eras)
+        keeper._earlier_eras._book, keeper._earlier_eras._store = book, client
         keeper._dead = dict(keeper._dead)
         client.on_era = keeper.begin_era
         self.processes[host] = Process(keeper, client)
@@ -222,9 +226,7 @@
         self.spent_by_dead += process.holding.spent
         for other in self.processes.values():
             key = process.keeper._key
-            row_key = budget_keeper.RowKey(
-                budget_keeper.HOLDER_TABLE, other.keeper._part, key
-            )
+            row_key = RowKey(HOLDER_TABLE, other.keeper._part, key)
             if row_key not in self.rows.rows or other.client.era != self.rows.era:
                 continue
             row, version = run(other.keeper.read_holder(key))
@@ -337,7 +339,7 @@
 def _read_value(table, value):
     """Return what decisions depend on of a row's value."""
     fields = json.loads(value)
-    if table == budget_keeper.HOLDER_TABLE:
+    if table == HOLDER_TABLE:
         return fields["stamp_s"], str(fields["held"])
     return str(fields)
 
@@ -354,8 +356,8 @@
     book = keeper.book
     holding = book.get_holding(ACCOUNT)
     part = keeper._part
-    own = budget_keeper.RowKey(budget_keeper.HOLDER_TABLE, part, keeper._key)
-    account = budget_keeper.RowKey(budget_keeper.ACCOUNT_TABLE, part, ACCOUNT)
+    own = RowKey(HOLDER_TABLE, part, keeper._key)
+    account = RowKey(ACCOUNT_TABLE, part, ACCOUNT)
     return (
         holding.granted,
         holding.received,
@@ -377,7 +379,7 @@
         book._acknowledged_at,
         repr(book._ended),
         repr(keeper._dead),
-        keeper._has_unreported,
+        keeper._earlier_eras._has_unreported,
     )
 
 
@@ -423,13 +425,13 @@
         book._has_rows = False
 
     BudgetBook.begin_era = begin_era
-    budget_keeper.make_part = lambda era: budget_keeper.PART
+    budget_keeper.make_part = earlier_eras.make_part = lambda era: PART
 
 
 def plant_early_grants():
     """Tokens are granted before all holders have written their rows again."""
     compute = carryover.compute_carryover
-    budget_keeper.compute_carryover = lambda eras, reports, allowances: compute(
+    earlier_eras.compute_carryover = lambda eras, reports, allowances: compute(
         eras, reports, {}
     )
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -16,7 +16,7 @@
 
 from bronzesail.http import HttpServer, send_json
 from bronzesail.router.application import Application
-from bronzesail.router.budget_keeper import make_part
+from bronzesail.router.budget_rows import make_part
 from bronzesail.router.clocks import read_clock
 from bronzesail.standin import LinkPath, LinkStandin
 
--- a/tests/router_soak.py
+++ b/tests/router_soak.py
@@ -22,7 +22,7 @@
 import attrs
 import h11
 
-from bronzesail.router.budget_keeper import make_part
+from bronzesail.router.budget_rows import make_part
 from bronzesail.router.neighbourhood import SMALL_FLEET
 from tests.endless_server import EndlessServer
 from tests.platform_standin import (
--- a/tests/test_router/test_store_restore.py
+++ b/tests/test_router/test_store_restore.py
@@ -8,7 +8,7 @@
 
 from bronzesail.model import StoreVersion
 from bronzesail.platform import AnswerHeadReader
-from bronzesail.router.budget_keeper import make_part, parse_part
+from bronzesail.router.budget_rows import make_part, parse_part
 from bronzesail.router.carryover import EraCopy, compute_carryover, list_unreported
 from bronzesail.router.directory import LAPSE_GRACE_S, Directory
 from bronzesail.router.store import EraChangedError
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -403,7 +403,7 @@
     ),
     Mutant(
         "rows of all eras stand in one partition",
-        "bronzesail/router/budget_keeper.py",
+        "bronzesail/router/budget_rows.py",
         'return f"{PART}.{era}" if era else PART',
         "return PART",
         RESTORE_TESTS,
