--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -156,7 +156,7 @@
     ),
     Mutant(
         "a dead process's tokens are reclaimed without a proof of the lease",
-        "bronzesail/router/budget.py",
+        "bronzesail/router/budget_rows.py",
         "held - limit - math.ceil(overrun_per_s * past_lease_s)",
         "held - limit",
         ROUTER_BUDGET_TESTS,
@@ -172,7 +172,8 @@
         "tokens on their way back can still be spent",
         "bronzesail/router/budget.py",
         "            if change < 0:\n                self.get_holding(account)"
-        ".granted += change\n        self._unresolved",
+        ".granted += change\n                self.get_holding(account)"
+        ".granted_by_store += change\n        self._unresolved",
         "            pass\n        self._unresolved",
         ROUTER_BUDGET_TESTS,
     ),
@@ -228,8 +229,8 @@
     Mutant(
         "a renewal does not check the version of the own row",
         "bronzesail/router/budget_keeper.py",
-        "        checks = [RowCheck(own, attempt.base_version)]\n        writes: ",
-        "        checks: list[RowCheck] = []\n        writes: ",
+        "        checks = [RowCheck(own, attempt.base_version)]\n        writes = ",
+        "        checks: list[RowCheck] = []\n        writes = ",
         ROUTER_BUDGET_TESTS,
     ),
     Mutant(
@@ -278,7 +279,7 @@
     Mutant(
         "a silent router loses its share of the slack",
         "bronzesail/router/neighbourhood.py",
-        "return len(self._last_seen_at.keys() | {self._host})",
+        "return len(self._last_seen_at.keys() | {self.host})",
         "return len(self._list_live()) + 1",
         f"{RETRY_TESTS} tests/test_router/test_neighbourhood.py",
     ),
