--- a/benchmarks/large_fleet.py
+++ b/benchmarks/large_fleet.py
@@ -64,11 +64,6 @@
     def _count(self, data: bytes, address: tuple[str, int]) -> None:
         self.sent += 1
 
-    def list_senders(self) -> list[str]:
-        """Return the hosts that send their hellos to an ordinary router."""
-        is_speaker = getattr(self.app.neighbourhood, "count_speakers", None)
-        return self.hosts if is_speaker is None else self.hosts[-is_speaker() :]
-
     def make_hello(self, host: str) -> bytes:
         """Return a hello of another router."""
         number = self.hosts.index(host)
@@ -89,7 +84,7 @@
     def rest(self, seconds: int) -> int:
         """Take what arrives in some seconds; return the number of hellos."""
         n_received = 0
-        hellos = [self.make_hello(host) for host in self.list_senders()]
+        hellos = [self.make_hello(host) for host in self.hosts]
         for _ in range(round(seconds / HELLO_INTERVAL_S)):
             for hello in hellos:
                 self.app.peers.datagram_received(hello, ("10.0.0.1", 7340))
