--- a/tests/test_router/test_store_restore.py
+++ b/tests/test_router/test_store_restore.py
@@ -338,6 +338,8 @@
         (second,) = await start_ready(deployment, "h1", restore_depth_s=1000.0)
         await wait_until(lambda: second.app.book._ended)
         assert left not in deployment.store.find("holders", make_part(1))
+        await wait_until(lambda: second.app.book.carryover is not None)
+        assert second.app.book.count_available("acme") > 0
         # It does not inherit more than the time for which the row has stood.
         assert second.app.book.count_acquirable("acme") == 0
         assert second.app.book._first_row_at < second.app._started_at
