router: tokens are reclaimed by the next process on the host only

Callers saw an account consume more than its prepaid tokens (BUDGET).

Cause: a router took a refused connection for proof that a silent peer had ended, and reclaimed what lay above the limit in the peer's row. A cut may answer with resets, so the address of a live process refuses too. That process spends on after its lease, at its overrun rate, and the same tokens are spent twice.

Ruled out: charges below what accounts consume.

Change: no peer reclaims for a silent router. Its successor on the same host does, which knows that the process before it had ended. What a host holds that does not return stays granted. The key in hellos, and the row that peers read, are gone with it.

--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -18,7 +18,7 @@
 from .budget import RESTORE_DEPTH_S, BudgetBook
 from .budget_keeper import BudgetKeeper
 from .caller import CallerConnection, CallerRequest
-from .client import ClientPool, ConnectError
+from .client import ClientPool
 from .clocks import read_clock
 from .directory import Directory
 from .exchange import Exchange
@@ -40,7 +40,7 @@
 from .poison import PoisonList
 from .reservation_queue import ReservationQueue
 from .services import Services
-from .store import StoreClient, StoreError
+from .store import StoreClient
 from .store_era import StoreEra
 from .watches import (
     MAX_BACKOFF,
@@ -79,12 +79,6 @@
 HOLDINGS_LOG_INTERVAL_S = 2.0
 # Long enough for a call to the store in another region.
 TOKEN_RETURN_TIMEOUT_S = 0.5
-# Interval between reads of the holder rows of the other processes.
-HOLDER_CHECK_INTERVAL_S = 3.0
-# A peer is suspected after two missed hellos.
-HELLO_TIMEOUT_S = 0.9
-# Time in which a killed process is usually started again and has read its host's row.
-SUCCESSOR_START_S = 2.0
 SHARED_METRICS_PORT = 9464  # Named in deploy/system.toml.
 LISTEN_BACKLOG = 1024  # Connections that the kernel queues before they are accepted.
 
@@ -132,14 +126,13 @@
         self._exchanges: set[asyncio.Task[None]] = set()
         self._servers: list[asyncio.Server] = []
         self._source_host: str | None = None
-        self._suspected_at: dict[str, float] = {}  # By holder key.
         self._build_components()
 
     def _build_components(self) -> None:
         """Create all components and connect them by callbacks."""
         settings = self.settings
         loop = self._loop
-        self._holder_key = f"{settings.host}.{self.incarnation}"
+        holder_key = f"{settings.host}.{self.incarnation}"
         self._internal_address = (settings.ip, settings.internal_ports[0])
         address = f"{settings.ip}:{settings.internal_ports[0]}"
         self.era = StoreEra(self.log)
@@ -169,7 +162,7 @@
             self.book,
             self.store,
             self.log,
-            self._holder_key,
+            holder_key,
             self._serve_waiters,
             self._record_holder,
             self.neighbourhood,
@@ -303,7 +296,6 @@
             self._sweep(),
             self._watch_settings(),
             self._log_holdings_regularly(),
-            self._watch_silent_peers(),
         ):
             self._tasks.append(loop.create_task(coroutine))
         self.log.write(
@@ -507,7 +499,6 @@
             incarnation=self.incarnation,
             address=f"{self._internal_address[0]}:{self._internal_address[1]}",
             config_version=self.configuration.version,
-            holder_key=self._holder_key,
             free=select_free(spendable),
             crashes=select_crashes(self.poison.export(MAX_HELLO_CRASHES)),
             crash_digest=self.poison.digest,
@@ -577,56 +568,6 @@
             await self.services.probe_unreachable()
             self.book.check_invariant()
 
-    async def _watch_silent_peers(self) -> None:
-        """Check peers whose hellos stop, so that tokens of dead ones are reclaimed."""
-        while True:
-            await asyncio.sleep(HELLO_TIMEOUT_S / 3)
-            now = self._loop.time()
-            for host, peer in list(self.peers.by_host.items()):
-                silent_s = now - peer.last_hello_at
-                if not HELLO_TIMEOUT_S < silent_s < 3 * HELLO_TIMEOUT_S:
-                    continue
-                if peer.hello.holder_key in self._suspected_at:
-                    continue
-                self._suspected_at[peer.hello.holder_key] = now
-                self._loop.create_task(self._confirm_death(host, peer))
-
-    async def _confirm_death(self, host: str, peer: Peer) -> None:
-        """Mark a peer's process as dead if its address refuses connections.
-
-        A timeout proves nothing, and a process that is draining returns its tokens
-        itself.
-        """
-        try:
-            connection = await self.pool.open(peer.address)
-        except ConnectError as error:
-            refuses_connections = str(error) == "refused"
-        else:
-            self.pool.release(connection)
-            refuses_connections = False
-        if not refuses_connections or peer.hello.is_leaving:
-            self.log.write(
-                "peers: silent peer is not confirmed dead",
-                peer=host,
-                refused=refuses_connections,
-            )
-            return
-        detected_at = read_clock()
-        # The next process on the host replaces the row itself if it starts by then.
-        await asyncio.sleep(SUCCESSOR_START_S)
-        try:
-            found = await self.keeper.read_holder(peer.hello.holder_key)
-        except StoreError as error:
-            self.log.write(
-                "budget: cannot read the holder row", peer=host, error=str(error)
-            )
-            return
-        if found is None:
-            return
-        dead_by_s = self.store.clock.read_latest(detected_at)
-        self.log.write("peers: process confirmed dead", peer=host, dead_by_s=dead_by_s)
-        self.keeper.note_dead(peer.hello.holder_key, found[0], found[1], dead_by_s)
-
     async def _watch_settings(self) -> None:
         """Poll the settings file for changes."""
         while True:
--- a/bronzesail/router/budget_keeper.py
+++ b/bronzesail/router/budget_keeper.py
@@ -1,5 +1,9 @@
 """Synchronizes the token holdings of one router process with the store.
 
+The unspent tokens of a process that ended without returning them are reclaimed by the
+next process on its host, which knows that it has ended. Other routers cannot know: a
+cut may make the address of a live process silent or refuse connections.
+
 In a small fleet every router refills its holdings from the store. In a large fleet one
 router of each region, the account's allocator, refills its holding of the account and
 allocates tokens to the other routers of the region.
@@ -233,25 +237,12 @@
     def note_dead(
         self, key: str, row: HolderRow, version: int, dead_by_s: float
     ) -> None:
-        """Record that a process was dead by `dead_by_s` on the store's clock."""
-        self._dead.setdefault(key, _DeadProcess(key, row, version, dead_by_s))
-
-    async def read_holder(self, key: str) -> tuple[HolderRow, int] | None:
-        """Return the row of one process with its version, None if there is none.
+        """Record that a process was dead by `dead_by_s` on the store's clock.
 
-        Raises
-        ------
-        StoreError
-            If the store does not answer.
+        That a process does not answer, or that its address refuses connections, does
+        not show this.
         """
-        row = await self._store.read_row(HOLDER_TABLE, self._part, key)
-        if row is None:
-            return None
-        try:
-            return msgspec.json.decode(row.value, type=HolderRow), row.version
-        except msgspec.DecodeError as error:
-            self._log.write("budget: row unreadable", key=key, error=str(error))
-            return None
+        self._dead.setdefault(key, _DeadProcess(key, row, version, dead_by_s))
 
     async def read_holders(self) -> dict[str, tuple[HolderRow, int]]:
         """Return the rows of all processes, by key, with their versions.
--- a/bronzesail/router/messages.py
+++ b/bronzesail/router/messages.py
@@ -49,7 +49,6 @@
     incarnation: str
     address: str
     config_version: int
-    holder_key: str
     # Free tokens of the accounts with most of them.
     free: dict[str, int]
     crashes: list[CrashCount] = []  # Those that rose last.
--- a/tests/model_check.py
+++ b/tests/model_check.py
@@ -34,6 +34,7 @@
     FakeRows,
     FakeStoreClient,
     RecordingLog,
+    read_holder,
 )
 
 ACCOUNT = "a"
@@ -229,7 +230,7 @@
             row_key = RowKey(HOLDER_TABLE, other.keeper._part, key)
             if row_key not in self.rows.rows or other.client.era != self.rows.era:
                 continue
-            row, version = run(other.keeper.read_holder(key))
+            row, version = run(read_holder(other.client, row_key.part, key))
             other.keeper.note_dead(key, row, version, self.time)
 
     def restore(self, index):
--- a/tests/router_fakes.py
+++ b/tests/router_fakes.py
@@ -6,8 +6,10 @@
 import json
 
 import attrs
+import msgspec
 
 from bronzesail.model import BackendServer, Row, RowKey, RowsAnswer, StoreVersion
+from bronzesail.router.budget_rows import HOLDER_TABLE, HolderRow
 from bronzesail.router.store import ConflictError, EraChangedError, StoreError
 
 
@@ -205,3 +207,11 @@
         "born_ms": 0,
     }
     return BackendServer(**{**fields, **changes})
+
+
+async def read_holder(client, part, key):
+    """Return a process's row with its version, None if there is none."""
+    row = await client.read_row(HOLDER_TABLE, part, key)
+    if row is None:
+        return None
+    return msgspec.json.decode(row.value, type=HolderRow), row.version
--- a/tests/test_router/test_budget_machine.py
+++ b/tests/test_router/test_budget_machine.py
@@ -21,6 +21,7 @@
     FakeRows,
     FakeStoreClient,
     RecordingLog,
+    read_holder,
 )
 
 HOSTS = ("h1", "h2", "h3")
@@ -171,7 +172,9 @@
                 continue
             other.client.modes.clear()
             try:
-                found = self.run(other.keeper.read_holder(process.key))
+                found = self.run(
+                    read_holder(other.client, other.keeper._part, process.key)
+                )
             except StoreError:
                 continue  # The answer has told that the store was restored.
             if found is not None:
--- a/tests/test_router/test_endless_answers.py
+++ b/tests/test_router/test_endless_answers.py
@@ -201,7 +201,7 @@
 
 def make_peer(address):
     """Return a peer whose hello announces a newer configuration."""
-    hello = Hello("h2", "i", f"{address[0]}:{address[1]}", 9, "k", {})
+    hello = Hello("h2", "i", f"{address[0]}:{address[1]}", 9, {})
     return Peer(hello=hello, address=address, last_hello_at=0.0)
 
 
