router: the log tells the prompt parts of requests that a server's crash has ended

When a server crashes, the requests that it had begun to answer and those that it had not end alike, with 'connection closed', and nothing in the log says what they share. A line now names the parts of each request without an answer, but only if all connections to the server have ended: a server that resets one lives on.

It is to distinguish whether crashes under one part are seen, and by whom, before the quarantine is changed. No decision uses it.

--- a/bronzesail/router/client.py
+++ b/bronzesail/router/client.py
@@ -12,6 +12,8 @@
 from ..platform import AnswerHeadReader
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..model import AnswerHead
 
 __all__ = [
@@ -59,8 +61,14 @@
 class Connection(asyncio.Protocol):
     """An HTTP/1.1 client connection that carries one exchange at a time."""
 
-    def __init__(self, address: tuple[str, int]) -> None:
+    def __init__(
+        self,
+        address: tuple[str, int],
+        on_lost: Callable[[Connection], None] = lambda _: None,
+    ) -> None:
         self.address = address
+        self._on_lost = on_lost
+        self.opened_at = 0.0
         self.transport: asyncio.Transport | None = None
         self.is_usable = True
         self.idle_since = 0.0
@@ -101,6 +109,11 @@
         if self.transport is not None:
             self.transport.abort()
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether the connection has ended or is being closed."""
+        return self.transport is None or self.transport.is_closing()
+
     def pause(self) -> None:
         """Stop reading, so that TCP flow control slows the server down."""
         if self.transport is not None and not self.transport.is_closing():
@@ -136,6 +149,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Report an unfinished response to its sink as broken."""
         self.is_usable = False
+        self._on_lost(self)
         self._break("connection reset" if exc else "connection closed")
 
     def _break(self, reason: str) -> None:
@@ -205,6 +219,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
         self._idle: dict[tuple[str, int], deque[Connection]] = {}
+        self._open: dict[tuple[str, int], set[Connection]] = {}
         self.n_opened = 0
 
     def acquire_idle(self, address: tuple[str, int]) -> Connection | None:
@@ -232,15 +247,38 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, protocol = await self._loop.create_connection(
-                    lambda: Connection(address), address[0], address[1]
+                    lambda: Connection(address, self._forget), address[0], address[1]
                 )
         except (OSError, TimeoutError) as error:
             refused = isinstance(error, ConnectionRefusedError)
             raise ConnectError(
                 "refused" if refused else "failed or timed out"
             ) from error
+        protocol.opened_at = self._loop.time()
+        if not protocol.is_closing:
+            self._open.setdefault(address, set()).add(protocol)
         return protocol
 
+    def has_connection(self, address: tuple[str, int], opened_before: float) -> bool:
+        """Whether a connection to an address is still open, idle or in use.
+
+        Connections that were opened after a time, in seconds on the loop's clock, do
+        not count.
+        """
+        return any(
+            connection.opened_at <= opened_before and not connection.is_closing
+            for connection in self._open.get(address, ())
+        )
+
+    def _forget(self, connection: Connection) -> None:
+        """Stop tracking a connection that has ended."""
+        tracked = self._open.get(connection.address)
+        if tracked is None:
+            return
+        tracked.discard(connection)
+        if not tracked:
+            del self._open[connection.address]
+
     def release(self, connection: Connection) -> None:
         """Return a connection to the pool, or close it if it cannot be reused."""
         if not connection.is_usable:
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -291,6 +291,12 @@
         outcome = await self._exchange(server, connection)
         return self._process_outcome(server, outcome)
 
+    @property
+    def _shared_parts(self) -> list[str]:
+        """Ids of the prompt's parts that other requests may have too."""
+        assert self._head is not None
+        return [part for part, _ in self._head.prefix[:-1]]
+
     async def _choose_server(self) -> BackendServer:
         """Wait for a place at a server not tried yet, or refuse the request."""
         assert self._route is not None
@@ -567,6 +573,8 @@
         self._services.note_failure(server, outcome.reason)
         if self._is_crash(outcome):
             self._services.poison.note_crash(self._fingerprint)
+            if not outcome.has_begun:
+                self._services.note_crash(server, self._request_id, self._shared_parts)
         return self._retry_or_fail(ResultCode.BACKEND_FAILED)
 
     def _process_response(self, server: BackendServer, outcome: Outcome) -> bool:
--- a/bronzesail/router/relay.py
+++ b/bronzesail/router/relay.py
@@ -58,12 +58,15 @@
         The body of a complete response, otherwise empty.
     reason : str
         Why the response is broken, otherwise empty.
+    has_begun : bool
+        Whether the first event of a stream has arrived, or another success.
     """
 
     ending: Ending
     head: AnswerHead | None = None
     body: bytes = b""
     reason: str = ""
+    has_begun: bool = False
 
 
 @attrs.define
@@ -134,6 +137,7 @@
         self._memory = memory
         self._head: AnswerHead | None = None
         self._is_streaming = False
+        self._has_begun = False
         self._collected: list[bytes] = []
         self._collected_bytes = 0
         self._pending = bytearray()
@@ -200,6 +204,8 @@
         elif self._head.is_not_run:
             self._resolve(Ending.NOT_RUN)
         else:
+            if 200 <= self._head.status < 300:
+                self._has_begun = True
             self._resolve(Ending.COMPLETE)
 
     def response_failed(self, reason: str) -> None:
@@ -226,6 +232,7 @@
         """Send complete events to the caller and record them as sent."""
         assert self._stream is not None
         self._start_stream()
+        self._has_begun = True
         self._stream.events += events.count(EVENT_END)
         self._stream.last_event_at = self._loop.time()
         event_id = find_last_event_id(events)
@@ -242,7 +249,13 @@
         body = b"".join(self._collected) if ending is Ending.COMPLETE else b""
         self._collected.clear()
         self.done.set_result(
-            Outcome(ending=ending, head=self._head, body=body, reason=reason)
+            Outcome(
+                ending=ending,
+                head=self._head,
+                body=body,
+                reason=reason,
+                has_begun=self._has_begun,
+            )
         )
 
 
--- a/bronzesail/router/services.py
+++ b/bronzesail/router/services.py
@@ -25,11 +25,14 @@
 from .watches import ConfigurationKeeper
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from ..model import AnswerHead, BackendServer, ClientAccount, Route
     from .exchange import Exchange
 
 __all__ = ["Services"]
 
+CRASH_CHECK_S = 0.1  # A crash ends all connections to a server within this time.
 PROBE_INTERVAL_S = 0.7  # Between attempts to connect to an unreachable server.
 
 
@@ -116,6 +119,40 @@
             )
             self.admission_queue.note_pause(server.service, ends_at)
 
+    def note_crash(
+        self, server: BackendServer, request_id: str | None, parts: Sequence[str]
+    ) -> None:
+        """Log the prompt parts of a request that a server's crash has ended.
+
+        That is decided `CRASH_CHECK_S` later: if another connection to the server has
+        stayed open, the server has ended this one only.
+        """
+        self.loop.call_later(
+            CRASH_CHECK_S,
+            self._log_crash,
+            server,
+            request_id,
+            parts,
+            self.loop.time(),
+        )
+
+    def _log_crash(
+        self,
+        server: BackendServer,
+        request_id: str | None,
+        parts: Sequence[str],
+        crashed_at: float,
+    ) -> None:
+        """Log a crash with the prompt parts of a request, unless there was none."""
+        if self.pool.has_connection(server.address, opened_before=crashed_at):
+            return
+        self.log.write(
+            "server: crashed before it answered a request",
+            server=server.id,
+            request=request_id,
+            parts=parts,
+        )
+
     def note_failure(self, server: BackendServer, reason: str) -> None:
         """Record a failed request, which may eject the server."""
         if self.placement.note_failure(server.id):
