--- a/tests/test_router/test_budget.py
+++ b/tests/test_router/test_budget.py
@@ -279,3 +279,16 @@
     held, limit, _, _ = known.row.held["a"]
     assert fixture.count_spent() == limit
     assert fixture.count_spent() + reclaim(known.row, fixture.time)["a"] <= held
+
+
+# A process could spend tokens twice that it had received before it wrote its row.
+def test_tokens_received_before_a_row_do_not_raise_its_limit():
+    fixture = BudgetFixture()
+    fixture.renew()
+    fixture.book.receive("a", 3_000)
+    row = fixture.renew().row
+    fixture.book.receive("a", 500)  # No row shows these, so they may be spent.
+    held, limit, _, _ = row.held["a"]
+    assert fixture.book.count_spendable("a") == limit - fixture.count_spent() + 500
+    fixture.spend(fixture.book.count_spendable("a"))
+    assert fixture.count_spent() + reclaim(row, fixture.time)["a"] == held + 500
