router: prompt parts under which servers crash are quarantined

Cause: crashes were counted by target, account and body, so that requests that share only a part never added up.

Change: crashes are counted by part since a request with the part was last answered, here or at another router; those within a second count once. Of parts that crash together, the one with most crashes explains all of its own. From three on the part is quarantined for a minute: 503 with Retry-After. Hellos carry the newest crashes and answers, /crashes all of them.

--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -20,6 +20,7 @@
 from .caller import CallerConnection, CallerRequest
 from .client import ClientPool
 from .clocks import read_clock
+from .crashing_parts import CrashingParts
 from .directory import Directory
 from .exchange import Exchange
 from .internal_http import METRICS_PATH, start_internal_server
@@ -31,6 +32,7 @@
     select_crashes,
     select_free,
     select_leaving,
+    select_part_report,
 )
 from .metrics import Metrics
 from .neighbourhood import Neighbourhood
@@ -171,6 +173,7 @@
         )
         self.era.subscribe(self.keeper.begin_era)
         self.poison = PoisonList(loop.time, self.incarnation)
+        self.crashing_parts = CrashingParts(loop.time, self.incarnation)
         self.peers = Peers(
             loop,
             self.book,
@@ -205,6 +208,7 @@
             pool=self.pool,
             answer_memory=AnswerMemory(settings.memory_bytes),
             poison=self.poison,
+            crashing_parts=self.crashing_parts,
             book=self.book,
             desk=self.desk,
             neighbourhood=self.neighbourhood,
@@ -219,6 +223,7 @@
             lambda: self.is_following_store,
             self._apply_directory,
             self.poison,
+            self.crashing_parts,
         )
         self._server_watch = ServerWatch(
             self.store,
@@ -405,6 +410,9 @@
         set_state("servers_asked_for_pause", withdrawals.n_pauses)
         set_state("store_era", self.era.current)
         set_state("store_restores", self.era.n_restores)
+        set_state(
+            "prompt_parts_quarantined", len(self.crashing_parts.list_quarantined())
+        )
         set_state("routers_counted", self.services.count_hosts() or 0)
         set_state("store_calls", self.store.calls)
         set_state("store_failures_in_a_row", self.store.failures_in_a_row)
@@ -501,7 +509,8 @@
             config_version=self.configuration.version,
             free=select_free(spendable),
             crashes=select_crashes(self.poison.export(MAX_HELLO_CRASHES)),
-            crash_digest=self.poison.digest,
+            parts=select_part_report(self.crashing_parts.export()),
+            crash_digest=self.news.crash_digest,
             zone=self.settings.zone,
             link_mbps=self.settings.link_mbps,
             is_leaving=self.is_draining,
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -59,6 +59,8 @@
 OVERLOADED_RETRY_AFTER_S = 1.0
 # A higher age means that the server has never reported its load.
 MAX_LOAD_AGE_S = 1e6
+# Retry-After of a request with a part that crashes servers.
+QUARANTINE_RETRY_AFTER_S = 10.0
 # Retry-After while this router drains: another host accepts the request at once.
 DRAINING_RETRY_AFTER_S = 0.05
 LOWEST_PRIORITY = 9  # Larger priority numbers are sent to engines as this one.
@@ -181,6 +183,7 @@
         self._choose_service(configuration)
         self._services.retry_budget(self._service).note_request()
         self._services.metrics.count_service_request(self._service)
+        self._refuse_if_quarantined()
         await self._reserve()
         while True:
             if await self._try_one_server():
@@ -268,9 +271,9 @@
 
     async def _try_one_server(self) -> bool:
         """Try one server; return whether the caller has received the final response."""
-        if self._services.poison.is_poison(self._fingerprint):
-            raise self._make_refusal_error(ResultCode.QUARANTINED)
+        self._refuse_if_quarantined()
         server = await self._choose_server()
+        self._refuse_if_quarantined()
         self._check_still_allowed()
         self._services.placement.note_assigned(server.id)
         try:
@@ -291,6 +294,23 @@
         outcome = await self._exchange(server, connection)
         return self._process_outcome(server, outcome)
 
+    def _refuse_if_quarantined(self) -> None:
+        """Refuse a request that is known to crash servers, or has a part that does."""
+        if self._services.poison.is_poison(self._fingerprint):
+            raise self._make_refusal_error(ResultCode.QUARANTINED)
+        part = self._services.crashing_parts.find_quarantined(self._shared_parts)
+        if part is not None:
+            self._services.log.write(
+                "request: refused for a part of its prompt",
+                request=self._request_id,
+                part=part,
+            )
+            raise self._make_refusal_error(
+                ResultCode.QUARANTINED,
+                f"servers crashed under part {part} of the prompt",
+                retry_after_s=QUARANTINE_RETRY_AFTER_S,
+            )
+
     @property
     def _shared_parts(self) -> list[str]:
         """Ids of the prompt's parts that other requests may have too."""
@@ -438,6 +458,7 @@
             self._head.request_id,
             self._stream,
             on_head,
+            lambda: self._services.crashing_parts.note_begun(self._shared_parts),
             self._services.answer_memory,
         )
         self._connection = connection
--- a/bronzesail/router/messages.py
+++ b/bronzesail/router/messages.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from ..model import StoreVersion
+from .crashing_parts import PartReport
 from .poison import CrashCount  # noqa: TC001  Decoded at run time.
 
 if TYPE_CHECKING:
@@ -21,6 +22,7 @@
 __all__ = [
     "MAX_HELLO_CRASHES",
     "PACKET_BYTES",
+    "CrashReport",
     "Hello",
     "TokenRequest",
     "TokenTransfer",
@@ -30,6 +32,7 @@
     "select_crashes",
     "select_free",
     "select_leaving",
+    "select_part_report",
 ]
 
 PACKET_BYTES = 1472  # Payload of a UDP datagram on Ethernet, unfragmented.
@@ -37,6 +40,8 @@
 MAX_CRASH_BYTES = 300
 MAX_FREE_BYTES = 300
 MAX_LEAVING_BYTES = 200
+MAX_PART_CRASH_BYTES = 180
+MAX_BEGUN_BYTES = 70
 MAX_HELLO_CRASHES = 10
 
 T = TypeVar("T")
@@ -52,7 +57,8 @@
     # Free tokens of the accounts with most of them.
     free: dict[str, int]
     crashes: list[CrashCount] = []  # Those that rose last.
-    crash_digest: int = 0  # `PoisonList.digest`.
+    parts: PartReport = PartReport()  # Crashes and answers noted last.
+    crash_digest: int = 0  # Of all crashes; see `PeerSync.crash_digest`.
     zone: str = ""
     link_mbps: float = 0.0
     is_leaving: bool = False
@@ -71,6 +77,13 @@
     host_lists: dict[str, int] = {}
 
 
+class CrashReport(msgspec.Struct):
+    """All crashes that a router knows of, by request and by prompt part."""
+
+    requests: list[CrashCount]
+    parts: PartReport
+
+
 class TokenRequest(msgspec.Struct, tag="ask"):
     """Request for at least `least` and at most `want` tokens of an account."""
 
@@ -139,6 +152,19 @@
     )
 
 
+def select_part_report(report: PartReport) -> PartReport:
+    """Return the newest crashes and answers, as many as a hello has room for."""
+    crashes = _take_within(
+        report.crashes,
+        MAX_PART_CRASH_BYTES,
+        lambda crash: len(crash.origin) + sum(len(p) + 2 for p in crash.parts) + 17,
+    )
+    begun = _take_within(
+        report.begun.items(), MAX_BEGUN_BYTES, lambda item: len(item[0]) + 11
+    )
+    return PartReport(crashes, dict(begun))
+
+
 def select_leaving(latest_first: dict[str, int]) -> dict[str, int]:
     """Return the servers learned of last, as many as a hello has room for."""
     return dict(
--- a/bronzesail/router/peer_sync.py
+++ b/bronzesail/router/peer_sync.py
@@ -24,14 +24,14 @@
     HOSTS_PATH,
     PACKED_CONFIGURATION_PATH,
 )
-from .messages import parse_address
-from .poison import CrashCount
+from .messages import CrashReport, parse_address
 
 if TYPE_CHECKING:
     import asyncio
     from collections.abc import Callable, Coroutine
 
     from .client import ClientPool
+    from .crashing_parts import CrashingParts
     from .directory import Directory
     from .log import Log
     from .neighbourhood import Neighbourhood
@@ -76,6 +76,8 @@
         Called after the directory was replaced by that of a peer.
     poison : PoisonList
         The crash counts of requests.
+    crashing_parts : CrashingParts
+        The crashes by prompt part.
     """
 
     def __init__(
@@ -89,6 +91,7 @@
         is_following_store: Callable[[], bool],
         on_servers: Callable[[], None],
         poison: PoisonList,
+        crashing_parts: CrashingParts,
     ) -> None:
         self._loop = loop
         self._log = log
@@ -102,9 +105,15 @@
         self._compressed: tuple[int, bytes] = (0, b"")
         self._directory_state = ""  # `Hello.directory` at the last fetch.
         self._poison = poison
+        self._crashing_parts = crashing_parts
         self._read_at: dict[str, float] = {}  # By path.
         self._crash_digests: dict[str, int] = {}  # At the last read, by peer.
 
+    @property
+    def crash_digest(self) -> int:
+        """Identifies all crashes that this router knows of; 0 if there are none."""
+        return self._poison.digest ^ self._crashing_parts.digest
+
     def answer(self, path: str) -> tuple[int, bytes]:
         """Return status and body of the response to another router's request."""
         current = self._configuration.current
@@ -118,7 +127,9 @@
         if path == DIRECTORY_PATH:
             return 200, msgspec.json.encode(self._directory.make_listing())
         if path == CRASHES_PATH:
-            return 200, msgspec.json.encode(self._poison.export())
+            return 200, msgspec.json.encode(
+                CrashReport(self._poison.export(), self._crashing_parts.export())
+            )
         if path.startswith(HOSTS_PATH):
             hosts = self._neighbourhood.list_hosts(path[len(HOSTS_PATH) :])
             return 200, msgspec.json.encode(
@@ -160,10 +171,11 @@
             self._start_fetch(DIRECTORY_PATH, self._fetch_directory, peer)
 
     def _update_crashes(self, peer: Peer) -> None:
-        """Merge a peer's latest crash counts; read all if it has others as well."""
+        """Merge a peer's latest crashes; read all if it has others as well."""
         hello = peer.hello
         self._poison.merge(hello.crashes)
-        if hello.crash_digest in (0, self._poison.digest):
+        self._crashing_parts.merge(hello.parts)
+        if hello.crash_digest in (0, self.crash_digest):
             return
         if self._crash_digests.get(hello.host) == hello.crash_digest:
             return  # Only counts that this router has in addition differ.
@@ -242,17 +254,18 @@
         self._on_servers()
 
     async def _fetch_crashes(self, peer: Peer) -> None:
-        """Read all crash counts of a peer."""
+        """Read all crashes that a peer knows of."""
         digest = peer.hello.crash_digest
         body = await self._fetch(peer, CRASHES_PATH)
         if body is None:
             return
         try:
-            counts = msgspec.json.decode(body, type=list[CrashCount])
+            report = msgspec.json.decode(body, type=CrashReport)
         except msgspec.DecodeError as error:
             self._log.write("peers: answer unreadable", error=str(error))
             return
-        self._poison.merge(counts)
+        self._poison.merge(report.requests)
+        self._crashing_parts.merge(report.parts)
         self._crash_digests[peer.hello.host] = digest
 
     async def _fetch_hosts(self, zone: str, peer: Peer) -> None:
--- a/bronzesail/router/relay.py
+++ b/bronzesail/router/relay.py
@@ -109,6 +109,8 @@
         Progress of the stream; None if the route does not stream.
     on_head : callable
         Called with a valid head.
+    on_begun : callable
+        Called at the first event of a stream, or the end of another success.
     memory : AnswerMemory
         Limits the memory of all collected responses of the process.
 
@@ -127,6 +129,7 @@
         request_id: str,
         stream: StreamState | None,
         on_head: Callable[[AnswerHead], None],
+        on_begun: Callable[[], None],
         memory: AnswerMemory,
     ) -> None:
         self._loop = loop
@@ -134,6 +137,7 @@
         self._request_id = request_id
         self._stream = stream
         self._on_head = on_head
+        self._on_begun = on_begun
         self._memory = memory
         self._head: AnswerHead | None = None
         self._is_streaming = False
@@ -205,7 +209,7 @@
             self._resolve(Ending.NOT_RUN)
         else:
             if 200 <= self._head.status < 300:
-                self._has_begun = True
+                self._note_begun()
             self._resolve(Ending.COMPLETE)
 
     def response_failed(self, reason: str) -> None:
@@ -232,7 +236,7 @@
         """Send complete events to the caller and record them as sent."""
         assert self._stream is not None
         self._start_stream()
-        self._has_begun = True
+        self._note_begun()
         self._stream.events += events.count(EVENT_END)
         self._stream.last_event_at = self._loop.time()
         event_id = find_last_event_id(events)
@@ -240,6 +244,12 @@
             self._stream.last_event_id = event_id
         self._caller.send_chunk(events)
 
+    def _note_begun(self) -> None:
+        """Record that the server has begun to write its answer."""
+        if not self._has_begun:
+            self._has_begun = True
+            self._on_begun()
+
     def _resolve(self, ending: Ending, reason: str = "") -> None:
         """Resolve both futures; the first outcome is final."""
         if not self.head_done.done():
--- a/bronzesail/router/services.py
+++ b/bronzesail/router/services.py
@@ -14,6 +14,7 @@
 from .budget import BudgetBook
 from .client import ClientPool
 from .clocks import read_clock
+from .crashing_parts import CrashingParts
 from .directory import Directory
 from .log import Log
 from .metrics import Metrics
@@ -53,6 +54,7 @@
     pool: ClientPool
     answer_memory: AnswerMemory
     poison: PoisonList
+    crashing_parts: CrashingParts
     book: BudgetBook
     desk: ReservationQueue
     neighbourhood: Neighbourhood
@@ -122,35 +124,38 @@
     def note_crash(
         self, server: BackendServer, request_id: str | None, parts: Sequence[str]
     ) -> None:
-        """Log the prompt parts of a request that a server's crash has ended.
+        """Suspect the prompt parts of a request that a server's crash has ended.
 
         That is decided `CRASH_CHECK_S` later: if another connection to the server has
         stayed open, the server has ended this one only.
         """
         self.loop.call_later(
             CRASH_CHECK_S,
-            self._log_crash,
+            self._suspect_parts,
             server,
             request_id,
             parts,
             self.loop.time(),
         )
 
-    def _log_crash(
+    def _suspect_parts(
         self,
         server: BackendServer,
         request_id: str | None,
         parts: Sequence[str],
         crashed_at: float,
     ) -> None:
-        """Log a crash with the prompt parts of a request, unless there was none."""
+        """Record a crash under the prompt parts of a request, unless there was none."""
         if self.pool.has_connection(server.address, opened_before=crashed_at):
             return
+        suspected = self.crashing_parts.note_crash(parts, crashed_at)
+        if not suspected:
+            return
         self.log.write(
             "server: crashed before it answered a request",
             server=server.id,
             request=request_id,
-            parts=parts,
+            parts={part: self.crashing_parts.count(part) for part in suspected},
         )
 
     def note_failure(self, server: BackendServer, reason: str) -> None:
--- a/tests/test_router/test_endless_answers.py
+++ b/tests/test_router/test_endless_answers.py
@@ -15,6 +15,7 @@
 from bronzesail.platform import decode_settings
 from bronzesail.router import client
 from bronzesail.router.client import MAX_CALL_BYTES, ClientPool
+from bronzesail.router.crashing_parts import CrashingParts
 from bronzesail.router.internal_http import MAX_REQUEST_BYTES, start_internal_server
 from bronzesail.router.log import Log
 from bronzesail.router.messages import Hello
@@ -195,6 +196,7 @@
             lambda: False,
             lambda: 0,
             PoisonList(loop.time),
+            CrashingParts(loop.time),
         )
     return news, fakes
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -54,6 +54,7 @@
 ENDLESS_TESTS = "tests/test_router/test_endless_answers.py"
 
 WITHDRAWAL_TESTS = "tests/test_router/test_withdrawals.py"
+PART_TESTS = "tests/test_router/test_crashing_parts.py"
 HELLO_TESTS = "tests/test_router/test_large_fleet.py"
 
 RESTORE_TESTS = "tests/test_router/test_store_restore.py"
@@ -391,10 +392,45 @@
     Mutant(
         "crash counts beyond those of a hello are not read",
         "bronzesail/router/peer_sync.py",
-        "if hello.crash_digest in (0, self._poison.digest):",
+        "if hello.crash_digest in (0, self.crash_digest):",
         "if True:",
         HELLO_TESTS,
     ),
+    Mutant(
+        "crashes at one moment count one by one",
+        "bronzesail/router/crashing_parts.py",
+        "            if at - counted_at >= CRASH_INTERVAL_S:",
+        "            if True:",
+        PART_TESTS,
+    ),
+    Mutant(
+        "a part that was just answered is suspected",
+        "bronzesail/router/crashing_parts.py",
+        "            if at - self._find_begun_at(part) >= TRUST_S",
+        "            if True",
+        PART_TESTS,
+    ),
+    Mutant(
+        "an answer clears a part at one router only",
+        "bronzesail/router/crashing_parts.py",
+        "                self._clear(part, now - age_s)",
+        "                pass",
+        PART_TESTS,
+    ),
+    Mutant(
+        "a crash counts against all parts of its request",
+        "bronzesail/router/crashing_parts.py",
+        "                keys -= explained",
+        "                pass",
+        PART_TESTS,
+    ),
+    Mutant(
+        "a crash is noted although other connections to the server stay open",
+        "bronzesail/router/client.py",
+        "            connection.opened_at <= opened_before and not connection.is_closing",
+        "            False",
+        PART_TESTS,
+    ),
     Mutant(
         "a changed list of hosts is not read",
         "bronzesail/router/peer_sync.py",
