--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -427,8 +427,8 @@
     Mutant(
         "a crash is noted although other connections to the server stay open",
         "bronzesail/router/client.py",
-        "            connection.opened_at <= opened_before and not connection.is_closing",
-        "            False",
+        "connection.opened_at <= opened_before and not connection.is_closing",
+        "False",
         PART_TESTS,
     ),
     Mutant(
