router: an unframed stream that ends before its first event has been broken off

A response without a length or chunks ends with its connection.

Change: such a stream needs an event to be whole.

--- a/bronzesail/model/_types.py
+++ b/bronzesail/model/_types.py
@@ -155,6 +155,7 @@
 class AnswerHead:
     """What a backend server's headers say of its answer and of the server.
 
+    `has_length` is unset if the body ends with the connection only.
     `is_leaving` is set if the server will stop, `pause_s` if it wants no request from
     this router for that many seconds. `store_era` is sent by the store only, and rises
     whenever it comes back from an older copy. `malformed` names ignored headers.
@@ -168,6 +169,7 @@
     running: int | None
     waiting: int | None
     passed_on: bytes
+    has_length: bool = True
     is_leaving: bool = False
     pause_s: float | None = None
     malformed: tuple[str, ...] = ()
--- a/bronzesail/platform/_answers.py
+++ b/bronzesail/platform/_answers.py
@@ -60,6 +60,7 @@
             running=running,
             waiting=waiting,
             passed_on=b"".join(self._lines),
+            has_length=self.has_length,
             is_leaving=self._read_leaving(malformed),
             pause_s=self._read_pause_s(malformed) if status == 503 else None,
             store_era=self._read_store_era(malformed),
--- a/bronzesail/router/relay.py
+++ b/bronzesail/router/relay.py
@@ -203,6 +203,10 @@
             if self._pending:
                 self._resolve(Ending.BROKEN, "stream ended inside an event")
                 return
+            if not self._head.has_length and not self._has_begun:
+                # A server that crashes after the head ends the connection, too.
+                self._resolve(Ending.BROKEN, "connection closed before an event")
+                return
             self._start_stream()
             self._resolve(Ending.STREAMED)
         elif self._head.is_not_run:
