router: one part is held responsible for each crash of a server

Callers: where all servers crashed within half a second, requests with the part went on crashing them as they came back, and with more of them at once a frequent part of sound requests could have been quarantined with the whole kind of request.

Change: crashes within 0.3 s count once, two servers always count for one; a request that a crash has ended is sent again only after the crash is counted; a crash is counted against one part of all requests at the server, where parts that were never answered go first, and parts that were answered before need six crashes.

--- a/bronzesail/router/crashing_parts.py
+++ b/bronzesail/router/crashing_parts.py
@@ -5,8 +5,9 @@
 servers crash again and again, while no request with it is answered, is quarantined. A
 part of a sound request is cleared by the next answer to a request with it.
 
-Parts that occur together crash together. The one with most crashes is held responsible
-for all of its crashes, which then do not count against the others.
+Parts that occur together crash together, and a crash ends sound requests, too. The part
+that is most suspect is held responsible for all crashes of servers that had a request
+with it, which then do not count against the others.
 """
 
 from __future__ import annotations
@@ -24,12 +25,20 @@
 
 __all__ = ["CrashingParts", "PartCrash", "PartReport"]
 
-# Crashes from which on a part is quarantined. The fleet tolerates five, and more while
-# the other routers learn of them.
+# Crashes from which on a part is quarantined that was never answered. The fleet
+# tolerates five, and more while the other routers learn of them.
 MIN_CRASHES = 3
+# The same for a part that was answered before. While all servers crash, the most
+# frequent parts have no answers between the crashes either.
+MIN_CRASHES_ANSWERED = 6
 # Crashes closer together than this count once: many servers may crash at one moment for
 # another reason, and the routers' times of one crash differ by the delay of reports.
-CRASH_INTERVAL_S = 1.0
+CRASH_INTERVAL_S = 0.3
+# So many servers that crashed count as one crash, however close together: a part that
+# all servers were given at once leaves none to crash later.
+SERVERS_PER_CRASH = 2
+# Within this time, crashes of one server are the same; its restart takes longer.
+SERVER_CRASH_S = 1.0
 # A part that was answered so shortly before a crash is not suspected, so that the most
 # frequent parts cause no reports.
 TRUST_S = 2.0
@@ -50,6 +59,8 @@
         Id of the router process that sent the request.
     number : int
         Number of the crash at that process.
+    server : str
+        Id of the server.
     parts : list of str
         Ids of the prompt's suspected parts, in their order.
     age_s : float
@@ -58,6 +69,7 @@
 
     origin: str
     number: int
+    server: str
     parts: list[str]
     age_s: float
 
@@ -81,9 +93,15 @@
 class _Crash:
     """A crash under one request, with the parts that are still suspected."""
 
+    server: str
     parts: list[str]
     at: float
 
+    def is_same_as(self, other: _Crash) -> bool:
+        """Whether both requests were ended by one crash of a server."""
+        is_close = abs(self.at - other.at) < SERVER_CRASH_S
+        return self.server == other.server and is_close
+
 
 _Key = tuple[str, int]  # Origin and number of a crash.
 
@@ -128,8 +146,8 @@
         while len(self._begun_at) > MAX_BEGUN:
             del self._begun_at[next(iter(self._begun_at))]
 
-    def note_crash(self, parts: Iterable[str], at: float) -> list[str]:
-        """Record a crash under a request that was not answered yet.
+    def note_crash(self, server: str, parts: Iterable[str], at: float) -> list[str]:
+        """Record a crash of a server under a request that was not answered yet.
 
         Returns
         -------
@@ -142,7 +160,8 @@
             if at - self._find_begun_at(part) >= TRUST_S
         ]
         if suspected:
-            self._add((self._origin, next(self._numbers)), suspected, at)
+            key = self._origin, next(self._numbers)
+            self._add(key, _Crash(server, suspected, at))
         return suspected
 
     def find_quarantined(self, parts: Iterable[str]) -> str | None:
@@ -160,7 +179,8 @@
     def count(self, part: str) -> int:
         """Return the crashes under a part since it was last answered.
 
-        Those within `CRASH_INTERVAL_S` of each other count once.
+        Those within `CRASH_INTERVAL_S` of each other count once, or as one for
+        `SERVERS_PER_CRASH` servers.
         """
         return self._count(self._keys_by_part.get(part, ()))
 
@@ -169,7 +189,7 @@
         self._expire()
         now = self._now()
         crashes = [
-            PartCrash(origin, number, crash.parts, now - crash.at)
+            PartCrash(origin, number, crash.server, crash.parts, now - crash.at)
             for (origin, number), crash in self._crashes.items()
         ]
         crashes.sort(key=lambda crash: crash.age_s)
@@ -195,10 +215,10 @@
                 elif part not in self._cleared_at:
                     self._clear(part, begun_at)
             if suspected:
-                self._add(key, suspected, at)
+                self._add(key, _Crash(crash.server, suspected, at))
 
     def _select_quarantined(self) -> set[str]:
-        """Return the parts that are responsible for `MIN_CRASHES` crashes each."""
+        """Return the parts that are responsible for enough crashes."""
         unexplained = {
             part: set(keys)
             for part, keys in self._keys_by_part.items()
@@ -207,31 +227,45 @@
         responsible: set[str] = set()
         while unexplained:
             part = max(unexplained, key=lambda p: self._rank(p, unexplained[p]))
-            explained = unexplained.pop(part)
-            if self._count(explained) < MIN_CRASHES:
-                break
+            keys = unexplained.pop(part)
+            if self._count(keys) < self._find_threshold(part):
+                continue
             responsible.add(part)
-            for keys in unexplained.values():
-                keys -= explained
+            crashes = [self._crashes[key] for key in keys]
+            for others in unexplained.values():
+                others -= {key for key in others if self._is_among(key, crashes)}
         return responsible
 
-    def _rank(self, part: str, keys: set[_Key]) -> tuple[int, bool, int]:
-        """Rank a part by its crashes.
+    def _is_among(self, key: _Key, crashes: list[_Crash]) -> bool:
+        """Whether a crash is the same as one of several."""
+        return any(self._crashes[key].is_same_as(crash) for crash in crashes)
+
+    def _is_new(self, part: str) -> bool:
+        """Whether no request with a part was ever answered, as far as known."""
+        return self._find_begun_at(part) == -math.inf
+
+    def _find_threshold(self, part: str) -> int:
+        """Return the number of crashes from which on a part is quarantined."""
+        return MIN_CRASHES if self._is_new(part) else MIN_CRASHES_ANSWERED
 
-        Of equal ones, parts that were never answered go first, then those that come
-        later in the prompt, which fewer requests have.
+    def _rank(self, part: str, keys: set[_Key]) -> tuple[bool, int, int]:
+        """Rank a part by how suspect it is.
+
+        Parts that were never answered go first, then those with more crashes, then
+        those that come later in the prompt, which fewer requests have.
         """
-        is_new = self._find_begun_at(part) == -math.inf
         depth = max((self._crashes[key].parts.index(part) for key in keys), default=0)
-        return self._count(keys), is_new, depth
+        return self._is_new(part), self._count(keys), depth
 
     def _count(self, keys: Iterable[_Key]) -> int:
+        crashes = [self._crashes[key] for key in keys]
         n_crashes, counted_at = 0, -math.inf
-        for at in sorted(self._crashes[key].at for key in keys):
+        for at in sorted(crash.at for crash in crashes):
             if at - counted_at >= CRASH_INTERVAL_S:
                 n_crashes += 1
                 counted_at = at
-        return n_crashes
+        n_servers = len({crash.server for crash in crashes})
+        return max(n_crashes, n_servers // SERVERS_PER_CRASH)
 
     def _find_begun_at(self, part: str) -> float:
         """Return when a request with a part was last answered, as far as known."""
@@ -249,13 +283,13 @@
             if self._crashes[key].at <= at:
                 self._acquit(part, key)
 
-    def _add(self, key: _Key, parts: list[str], at: float) -> None:
+    def _add(self, key: _Key, crash: _Crash) -> None:
         if len(self._crashes) >= MAX_CRASHES:
             self._remove(next(iter(self._crashes)))
-        self._crashes[key] = _Crash(parts, at)
-        for part in parts:
+        self._crashes[key] = crash
+        for part in crash.parts:
             self._keys_by_part.setdefault(part, set()).add(key)
-        self._expires_at = min(self._expires_at, at + TTL_S)
+        self._expires_at = min(self._expires_at, crash.at + TTL_S)
         self._quarantined = None
         self.digest ^= _hash(*key)
 
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -292,7 +292,7 @@
                 ResultCode.RETRY_BUDGET_SPENT, retry_after_s=1.0
             )
         outcome = await self._exchange(server, connection)
-        return self._process_outcome(server, outcome)
+        return await self._process_outcome(server, outcome)
 
     def _refuse_if_quarantined(self) -> None:
         """Refuse a request that is known to crash servers, or has a part that does."""
@@ -571,7 +571,7 @@
                     raise
                 last_event_at = self._stream.last_event_at
 
-    def _process_outcome(self, server: BackendServer, outcome: Outcome) -> bool:
+    async def _process_outcome(self, server: BackendServer, outcome: Outcome) -> bool:
         """Process the end of one attempt.
 
         Returns True once the caller has the final response, False if the request is to
@@ -595,9 +595,17 @@
         if self._is_crash(outcome):
             self._services.poison.note_crash(self._fingerprint)
             if not outcome.has_begun:
-                self._services.note_crash(server, self._request_id, self._shared_parts)
+                await self._check_parts(server)
         return self._retry_or_fail(ResultCode.BACKEND_FAILED)
 
+    async def _check_parts(self, server: BackendServer) -> None:
+        """Suspect the prompt's parts of a server's crash, before any retry."""
+        checking = self._services.note_crash(
+            server, self._request_id, self._shared_parts
+        )
+        if self._may_retry():
+            await asyncio.shield(checking)
+
     def _process_response(self, server: BackendServer, outcome: Outcome) -> bool:
         """Send a collected response to the caller; return False to retry instead.
 
--- a/bronzesail/router/messages.py
+++ b/bronzesail/router/messages.py
@@ -157,7 +157,9 @@
     crashes = _take_within(
         report.crashes,
         MAX_PART_CRASH_BYTES,
-        lambda crash: len(crash.origin) + sum(len(p) + 2 for p in crash.parts) + 17,
+        lambda crash: (
+            sum(len(p) + 2 for p in [crash.origin, crash.server, *crash.parts]) + 15
+        ),
     )
     begun = _take_within(
         report.begun.items(), MAX_BEGUN_BYTES, lambda item: len(item[0]) + 11
--- a/bronzesail/router/services.py
+++ b/bronzesail/router/services.py
@@ -60,6 +60,7 @@
     neighbourhood: Neighbourhood
     _retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     _probed_at: dict[str, float] = attrs.field(factory=dict)
+    _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
 
     def retry_budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service, creating it on first use."""
@@ -123,32 +124,26 @@
 
     def note_crash(
         self, server: BackendServer, request_id: str | None, parts: Sequence[str]
-    ) -> None:
+    ) -> asyncio.Task[None]:
         """Suspect the prompt parts of a request that a server's crash has ended.
 
-        That is decided `CRASH_CHECK_S` later: if another connection to the server has
-        stayed open, the server has ended this one only.
+        The task that is returned decides that after `CRASH_CHECK_S`: if another
+        connection to the server has stayed open, the server has ended this one only.
         """
-        self.loop.call_later(
-            CRASH_CHECK_S,
-            self._suspect_parts,
-            server,
-            request_id,
-            parts,
-            self.loop.time(),
-        )
+        task = self.loop.create_task(self._suspect_parts(server, request_id, parts))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
 
-    def _suspect_parts(
-        self,
-        server: BackendServer,
-        request_id: str | None,
-        parts: Sequence[str],
-        crashed_at: float,
+    async def _suspect_parts(
+        self, server: BackendServer, request_id: str | None, parts: Sequence[str]
     ) -> None:
         """Record a crash under the prompt parts of a request, unless there was none."""
+        crashed_at = self.loop.time()
+        await asyncio.sleep(CRASH_CHECK_S)
         if self.pool.has_connection(server.address, opened_before=crashed_at):
             return
-        suspected = self.crashing_parts.note_crash(parts, crashed_at)
+        suspected = self.crashing_parts.note_crash(server.id, parts, crashed_at)
         if not suspected:
             return
         self.log.write(
--- a/tests/test_router/test_crashing_parts.py
+++ b/tests/test_router/test_crashing_parts.py
@@ -13,6 +13,8 @@
     CRASH_INTERVAL_S,
     MAX_CRASHES,
     MIN_CRASHES,
+    MIN_CRASHES_ANSWERED,
+    SERVERS_PER_CRASH,
     TRUST_S,
     TTL_S,
     CrashingParts,
@@ -121,16 +123,16 @@
 def crash_repeatedly(parts, time, names, count=MIN_CRASHES):
     """Note crashes under prompts with these parts, far enough from each other."""
     for _ in range(count):
-        time.now += CRASH_INTERVAL_S
-        parts.note_crash(names, time.now)
+        time.now += 1.5 * CRASH_INTERVAL_S
+        parts.note_crash(f"s{time.now}", names, time.now)
 
 
 def test_a_part_under_which_servers_crash_is_quarantined(time):
     parts = CrashingParts(time, "p1")
     for number in range(MIN_CRASHES):
         assert parts.find_quarantined(["a", "b"]) is None
-        time.now += CRASH_INTERVAL_S
-        parts.note_crash(["a", f"own-{number}"], time.now)
+        time.now += 1.5 * CRASH_INTERVAL_S
+        parts.note_crash(f"s{number}", ["a", f"own-{number}"], time.now)
     assert parts.find_quarantined(["b", "a"]) == "a"
     assert parts.find_quarantined(["own-0"]) is None
     assert parts.list_quarantined() == {"a"}
@@ -162,22 +164,55 @@
     assert parts.list_quarantined() == {"a", "b"}
 
 
+# A crash ends the sound requests at the server, too; their part was in all crashes.
+def test_a_part_of_other_requests_at_the_crashed_servers_is_not_quarantined(time):
+    routers = [CrashingParts(time, f"p{number}") for number in range(3)]
+    for router in routers:
+        router.note_begun(["first"])
+    time.now += TRUST_S
+    for number in range(MIN_CRASHES_ANSWERED + 2):
+        time.now += 1.5 * CRASH_INTERVAL_S
+        culprit, *others = routers[number % 3 :] + routers[: number % 3]
+        culprit.note_crash(f"s{number}", ["first", "a"], time.now)
+        for router in others:
+            time.now += 0.05
+            router.note_crash(f"s{number}", ["first", f"b{number}"], time.now)
+    time.now += 1.5 * CRASH_INTERVAL_S
+    routers[0].note_crash("s99", ["first", "c"], time.now)
+    for router in routers[1:]:
+        routers[0].merge(router.export())
+    assert routers[0].list_quarantined() == {"a"}
+
+
 # Many servers that crash at one moment would make a frequent part look deadly.
 def test_crashes_at_one_moment_count_once(time):
     parts = CrashingParts(time, "p1")
     for _ in range(20):
         time.now += CRASH_INTERVAL_S / 40
-        parts.note_crash(["a"], time.now)
+        parts.note_crash("s1", ["a"], time.now)
+    assert parts.count("a") == 1
+    parts.note_crash("s2", ["a"], time.now)
     assert parts.count("a") == 1
 
 
+# All servers had a request with the part, and crashed within half a second.
+def test_crashes_of_all_servers_at_once_are_enough(time):
+    parts = CrashingParts(time, "p1")
+    for number in range(MIN_CRASHES * SERVERS_PER_CRASH):
+        assert parts.find_quarantined(["a"]) is None
+        parts.note_crash(f"s{number}", ["a"], time.now)
+    assert parts.find_quarantined(["a"]) == "a"
+
+
 def test_a_part_that_is_answered_is_cleared_and_counted_anew(time):
     parts = CrashingParts(time, "p1")
     crash_repeatedly(parts, time, ["a"])
     parts.note_begun(["a"])
     assert parts.find_quarantined(["a"]) is None
     time.now += TRUST_S
-    crash_repeatedly(parts, time, ["a"])
+    crash_repeatedly(parts, time, ["a"], MIN_CRASHES_ANSWERED - 1)
+    assert parts.find_quarantined(["a"]) is None
+    crash_repeatedly(parts, time, ["a"], count=1)
     assert parts.find_quarantined(["a"]) == "a"
 
 
@@ -185,7 +220,7 @@
     parts = CrashingParts(time, "p1")
     parts.note_begun(["a"])
     time.now += TRUST_S / 2
-    assert parts.note_crash(["a", "b"], time.now) == ["b"]
+    assert parts.note_crash("s1", ["a", "b"], time.now) == ["b"]
     assert parts.count("a") == 0
 
 
@@ -231,19 +266,21 @@
     parts = CrashingParts(time, "p1")
     crash_repeatedly(parts, time, ["a", "b"])
     parts.note_begun(["b"])
-    time.now += TTL_S
+    time.now += TTL_S + 1
     assert parts.find_quarantined(["a"]) is None
     assert parts.export() == PartReport()
     assert parts.digest == 0
-    parts.merge(PartReport([PartCrash("p2", 1, ["a"], TTL_S + 1)], {"c": TTL_S + 1}))
-    parts.merge(PartReport([PartCrash("p2", 2, ["a"], math.nan)], {"c": -1.0}))
+    parts.merge(
+        PartReport([PartCrash("p2", 1, "s", ["a"], TTL_S + 1)], {"c": TTL_S + 1})
+    )
+    parts.merge(PartReport([PartCrash("p2", 2, "s", ["a"], math.nan)], {"c": -1.0}))
     assert parts.export() == PartReport()
 
 
 def test_the_number_of_crashes_is_bounded(time):
     parts = CrashingParts(time, "p1")
     for number in range(MAX_CRASHES + 10):
-        parts.note_crash([f"{number}"], time.now)
+        parts.note_crash("s1", [f"{number}"], time.now)
     assert len(parts.export().crashes) == MAX_CRASHES
     assert (parts.count("0"), parts.count(f"{MAX_CRASHES + 9}")) == (0, 1)
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -420,10 +420,17 @@
     Mutant(
         "a crash counts against all parts of its request",
         "bronzesail/router/crashing_parts.py",
-        "                keys -= explained",
+        "others -= {key for key in others if self._is_among(key, crashes)}",
         "                pass",
         PART_TESTS,
     ),
+    Mutant(
+        "frequent parts of sound requests are as suspect as new ones",
+        "bronzesail/router/crashing_parts.py",
+        "        return self._is_new(part), self._count(keys), depth",
+        "        return False, self._count(keys), depth",
+        PART_TESTS,
+    ),
     Mutant(
         "a crash is noted although other connections to the server stay open",
         "bronzesail/router/client.py",
