--- a/bronzesail/explain/_log_reader.py
+++ b/bronzesail/explain/_log_reader.py
@@ -35,7 +35,7 @@
     "BZ1101": "The key is not in the configuration in force.",
     "BZ1302": "The account's tokens were spent, or held and not transferable.",
     "BZ1303": "Tokens may have been left, but neither store nor peers granted any.",
-    "BZ1403": "Identical requests had crashed servers; the request was not retried.",
+    "BZ1403": "Identical requests, or some with a part of its prompt, crashed servers.",
     "BZ1404": "The time limit expired before the response.",
     "BZ1406": "The service's retry limit was exhausted.",
     "BZ1501": "No server of the service could be reached.",
