tests: a router of the stand-in gets three different ports

The router's log is empty, and its settings name port 45417 twice, as internal and as callers' port: the stand-in looked for three free ports one after the other, and the kernel may give the same one again. Now all three are bound before any is released.

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -345,7 +345,12 @@
     @classmethod
     def choose(cls):
         ip = f"127.0.0.{next(_ip_numbers) % 250 + 2}"
-        return cls(ip, find_port(ip), find_port(ip), find_port(ip))
+        with contextlib.ExitStack() as stack:
+            # All are bound at once, or the same port could be chosen twice.
+            sockets = [stack.enter_context(socket.socket()) for _ in range(3)]
+            for sock in sockets:
+                sock.bind((ip, 0))
+            return cls(ip, *(sock.getsockname()[1] for sock in sockets))
 
 
 @attrs.define
