router: the log tells which changes arrive after an outage, and which removals are put off

Callers saw (DRAIN): a server got requests more than 3 s after its entry was removed. The log could not tell whether the response after the outage lacked the removal (H3), whether it was undone by an older entry (H2), or put off for the grace period (H4).

--- a/bronzesail/router/directory.py
+++ b/bronzesail/router/directory.py
@@ -183,6 +183,10 @@
         self._forget(server_id)
         return True
 
+    def is_lapsed(self, server_id: str) -> bool:
+        """Whether the entry may have expired in an outage, and is kept for a while."""
+        return server_id in self._grace_ends
+
     def replace(self, servers: Iterable[BackendServer]) -> list[str]:
         """Replace all entries and return the ids of the servers removed now."""
         listed = {server.id: server for server in servers}
--- a/bronzesail/router/watches.py
+++ b/bronzesail/router/watches.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from ..model import BackendServer, Configuration, Row
+    from ..model import BackendServer, Configuration, Row, RowsAnswer
     from .directory import Directory
     from .log import Log
     from .store import StoreClient
@@ -196,6 +196,8 @@
             change = await self._store.watch(
                 self.table, since, wait_s, self._timeout_factor
             )
+            if self.has_lost_store:
+                self._log_caught_up(since, change)
             self._note_response()
             if change.version >= self._tracked_state.store_version:
                 # Otherwise another router sent newer state during the call.
@@ -205,6 +207,17 @@
             if change.rows and self.pause_s:
                 await asyncio.sleep(self.pause_s)
 
+    def _log_caught_up(self, since: StoreVersion, change: RowsAnswer) -> None:
+        """Log what the first response after an outage holds."""
+        self._log.write(
+            "store: changes since the outage received",
+            table=self.table,
+            since=since.number,
+            version=change.version.number,
+            changes=len(change.rows),
+            removals=sum(row.is_removed for row in change.rows),
+        )
+
     async def _read_table(self) -> None:
         loop = asyncio.get_running_loop()
         self._call_started_at = loop.time()
@@ -336,8 +349,12 @@
             if row.is_removed:
                 if self._directory.remove(row.key):
                     self._log.write("directory: server gone", server=row.key)
+                elif self._directory.is_lapsed(row.key):
+                    self._log.write("directory: removal deferred", server=row.key)
                 is_changed = True
         for server in self._decode(row for row in rows if not row.is_removed):
+            if self._directory.is_lapsed(server.id):
+                self._log.write("directory: lapsed entry renewed", server=server.id)
             if self._directory.put(server):
                 is_changed = True
                 self._log.write(
