--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -50,7 +50,8 @@
     """HTTP server with the store's transactions, reads and change feeds.
 
     `failure` selects how calls fail: "silent" (no response), "busy" (status 503) or
-    "lost" (transactions take effect, but get no response); None if they do not.
+    "lost" (transactions take effect, but get no response); None if they do not. All
+    responses begin `delay_s` late, and take `trickle_s` from their head to their end.
     """
 
     def __init__(self):
@@ -61,6 +62,8 @@
         self.calls = 0
         self.tables_read = []
         self.failure = None
+        self.delay_s = 0.0
+        self.trickle_s = 0.0
         self.era = 0  # Announced in all answers from 1 on.
         self._changed = asyncio.Event()
         self._server = HttpServer(self._answer)
@@ -122,6 +125,8 @@
         self.calls += 1
         if self.failure == "silent":
             await asyncio.sleep(3600)
+        await asyncio.sleep(self.delay_s)
+        trickle_s = self.trickle_s
         era = (("Store-Era", str(self.era)),) if self.era else ()
         if self.failure == "busy":
             await send_json(responder, 503, {}, era)
@@ -140,8 +145,22 @@
             await asyncio.sleep(3600)
         body |= {"rowVersion": self.version, "nowMs": int(time.monotonic() * 1000)}
         era = (("Store-Era", str(self.era)),) if self.era else ()
+        if trickle_s:
+            await self._send_slowly(responder, status, body, era, trickle_s)
+            return
         await send_json(responder, status, body, era)
 
+    @staticmethod
+    async def _send_slowly(responder, status, body, headers, trickle_s):
+        encoded = json.dumps(body).encode()
+        length = ("Content-Length", str(len(encoded)))
+        await responder.start(status, (*headers, length))
+        size = len(encoded) // 10 + 1
+        for start in range(0, len(encoded), size):
+            await responder.write(encoded[start : start + size])
+            await asyncio.sleep(trickle_s / 10)
+        await responder.finish()
+
     def _transact(self, call):
         names = [(c["table"], c["part"], c["key"]) for c in call["expectedRev"]]
         for name, check in zip(names, call["expectedRev"], strict=True):
