tests: a removal is undone by an earlier change of the same response (fail)

Two tests fail on this code: after one response that holds an entry and then its removal, the server is still listed. A third, the opposite order, passes and has to stay so.

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -46,6 +46,20 @@
         return sock.getsockname()[1]
 
 
+def encode_change(version, name, body):
+    """Return the store's JSON of a row, or of its removal if `body` is None."""
+    table, part, key = name
+    if body is None:
+        return {"table": table, "part": part, "key": key, "deleted": True}
+    return {
+        "table": table,
+        "part": part,
+        "key": key,
+        "value": base64.b64encode(body).decode(),
+        "rowVersion": version,
+    }
+
+
 class StoreStandin:
     """HTTP server with the store's transactions, reads and change feeds.
 
@@ -196,26 +210,16 @@
         return 200, {"rows": self._find_changes(table, since)}
 
     def _find_changes(self, table, since):
-        newest = {}
-        for version, name, body in self.log:
-            if version > since and name[0] == table:
-                newest[name] = body
+        """Return each change of a table, in order."""
         return [
-            self._encode(name)
-            if body is not None
-            else {"table": name[0], "part": name[1], "key": name[2], "deleted": True}
-            for name, body in newest.items()
+            encode_change(version, name, body)
+            for version, name, body in self.log
+            if version > since and name[0] == table
         ]
 
     def _encode(self, name):
         body, version = self.rows[name]
-        return {
-            "table": name[0],
-            "part": name[1],
-            "key": name[2],
-            "value": base64.b64encode(body).decode(),
-            "rowVersion": version,
-        }
+        return encode_change(version, name, body)
 
 
 class BackendStandin:
--- a/tests/test_router/test_watches.py
+++ b/tests/test_router/test_watches.py
@@ -7,7 +7,7 @@
 
 from bronzesail.model import Row, RowsAnswer, StoreVersion
 from bronzesail.platform import decode_server
-from bronzesail.router.directory import Directory
+from bronzesail.router.directory import LAPSE_GRACE_S, Directory
 from bronzesail.router.store import StoreError
 from bronzesail.router.watches import MAX_BACKOFF, ServerWatch
 from tests.platform_standin import wait_until
@@ -136,3 +136,62 @@
         assert failure_counts == [1, 2, 3, 4, 5]
 
     asyncio.run(run())
+
+
+def remove_row(server_id, version):
+    return Row(
+        table="servers",
+        part="",
+        key=server_id,
+        value=b"",
+        version=version,
+        is_removed=True,
+    )
+
+
+def apply_changes(directory, changes):
+    """Pass one response of the store's feed to a watch that has read the table."""
+
+    async def run():
+        store = ScriptedStore()
+        watch = ServerWatch(
+            store,
+            RecordingLog(),
+            lambda: True,
+            lambda: None,
+            lambda failures: 0.0,
+            directory,
+            lambda: None,
+        )
+        task = asyncio.create_task(watch.run())
+        store.answers.put_nowait(answer(5, make_row("a", "ready", 5)))
+        store.answers.put_nowait(answer(9, *changes))
+        await wait_until(lambda: len(store.watched_versions) == 2)
+        task.cancel()
+
+    asyncio.run(run())
+
+
+# Guards against a server that leaves and stays in use: the removals of a response were
+# applied before its entries, so that an earlier entry undid a later removal.
+def test_a_removal_is_not_undone_by_an_earlier_change():
+    directory = Directory(lambda: 0.0)
+    apply_changes(directory, [make_row("a", "ready", 6), remove_row("a", 7)])
+    assert directory.list_ids() == []
+
+
+def test_a_server_that_leaves_after_its_entry_expired_is_removed():
+    now_s = 0.0
+    directory = Directory(lambda: now_s)
+    directory.note_store_recovered()
+    changes = [remove_row("a", 6), make_row("a", "ready", 7), remove_row("a", 8)]
+    apply_changes(directory, changes)
+    now_s = LAPSE_GRACE_S
+    directory.expire()
+    assert directory.list_ids() == []
+
+
+def test_an_entry_that_is_written_after_its_removal_is_usable():
+    directory = Directory(lambda: 0.0)
+    apply_changes(directory, [remove_row("a", 6), make_row("a", "ready", 7)])
+    assert [server.id for server in directory.list_usable("s")] == ["a"]
