router: changes of the backend servers are applied in the order of the store

Cause: ServerWatch._apply_changes went through all removals of a response first, then through all entries. A response that spans an outage holds, for one server, the expiry of its entry, the entry written again, and its removal as the server leaves; the older entry undid the newer removal until the whole table was read, up to 6 s later. Class: events applied in another order than they happened. Change: one loop in the order of the store, one method each for a removal, an entry and its decoding. Elsewhere: ConfigurationWatch applies rows in order and never goes back; listings of other routers replace the whole table.

--- a/bronzesail/router/watches.py
+++ b/bronzesail/router/watches.py
@@ -16,7 +16,7 @@
 from .store import EraChangedError, HistoryLostError, StoreError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
     from ..model import BackendServer, Configuration, Row, RowsAnswer
     from .directory import Directory
@@ -338,45 +338,53 @@
         self._directory.note_store_recovered()
 
     def _apply_rows(self, rows: list[Row]) -> None:
-        servers = [s for s in self._decode(rows) if s is not None]
+        servers = [s for row in rows if (s := self._decode(row)) is not None]
         for server_id in self._directory.replace(servers):
             self._log.write("directory: server gone", server=server_id)
         self._on_change()
 
     def _apply_changes(self, rows: list[Row]) -> None:
+        # In the order of the store: a server may leave, or come back, within one
+        # response.
         is_changed = False
         for row in rows:
             if row.is_removed:
-                if self._directory.remove(row.key):
-                    self._log.write("directory: server gone", server=row.key)
-                elif self._directory.is_lapsed(row.key):
-                    self._log.write("directory: removal deferred", server=row.key)
+                self._remove(row.key)
                 is_changed = True
-        for server in self._decode(row for row in rows if not row.is_removed):
-            if self._directory.is_lapsed(server.id):
-                self._log.write("directory: lapsed entry renewed", server=server.id)
-            if self._directory.put(server):
+                continue
+            server = self._decode(row)
+            if server is not None and self._put(server):
                 is_changed = True
-                self._log.write(
-                    "directory: server changed",
-                    server=server.id,
-                    service=server.service,
-                    draining=server.is_draining,
-                )
         if is_changed:
             self._on_change()
 
-    def _decode(self, rows: Iterable[Row]) -> list[BackendServer]:
-        servers = []
-        for row in rows:
-            if row.is_removed:
-                continue
-            try:
-                servers.append(decode_server(row.key, row.value))
-            except ValueError as error:
-                # A malformed entry names no usable server; the others stay valid.
-                self._directory.remove(row.key)
-                self._log.write(
-                    "directory: malformed entry", server=row.key, error=str(error)
-                )
-        return servers
+    def _remove(self, server_id: str) -> None:
+        if self._directory.remove(server_id):
+            self._log.write("directory: server gone", server=server_id)
+        elif self._directory.is_lapsed(server_id):
+            self._log.write("directory: removal deferred", server=server_id)
+
+    def _put(self, server: BackendServer) -> bool:
+        """Add or update a server; return whether this changed the directory."""
+        if self._directory.is_lapsed(server.id):
+            self._log.write("directory: lapsed entry renewed", server=server.id)
+        if not self._directory.put(server):
+            return False
+        self._log.write(
+            "directory: server changed",
+            server=server.id,
+            service=server.service,
+            draining=server.is_draining,
+        )
+        return True
+
+    def _decode(self, row: Row) -> BackendServer | None:
+        """Return the server of an entry; None, and no longer use it, if malformed."""
+        try:
+            return decode_server(row.key, row.value)
+        except ValueError as error:
+            self._directory.remove(row.key)
+            self._log.write(
+                "directory: malformed entry", server=row.key, error=str(error)
+            )
+            return None
