router: a call that the store has lost ends once the store answers later ones

Callers saw: 404 on routes added more than 3 s before (CONFIG), and requests at a server more than 3 s after it said that it leaves (DRAIN), when the store had been silent for 8 s or longer. Cause: doubles the timeout of a call with each failure, for links that are congested. A call sent into the silence is never answered; grown to 6.4 s, its timeout outlasts the silence, and until it ends the host makes no other call for that table. Class: a wait that grows during an outage and outlives it; a late response and a lost one were the same to the client. Ruled out: the store, which answered transactions of the same hosts from 34.1 s on; configurations from other routers, as all hosts waited in step. Change: the longer timeouts stay, but while a call is overdue by the usual time the client makes short reads, one at a time for both tables. If a call that was sent after this time is answered, whichever it is, and the overdue one has not begun, that one fails at once, and the usual timeouts hold again. A response that has begun is read to its end. On a congested link the short reads are late too, and nothing changes.

--- a/bronzesail/router/client.py
+++ b/bronzesail/router/client.py
@@ -350,8 +350,17 @@
 
     def response_failed(self, reason: str) -> None:
         """Fail the call with a ConnectionResetError."""
+        self.fail(ConnectionResetError(reason))
+
+    def fail(self, error: Exception) -> None:
+        """End the call with an error, unless it has ended already."""
         if not self._done.done():
-            self._done.set_exception(ConnectionResetError(reason))
+            self._done.set_exception(error)
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the head of the response was received."""
+        return self._head is not None
 
     async def wait(self, timeout_s: float) -> tuple[AnswerHead, bytes]:
         """Return the response's head and body.
--- a/bronzesail/router/store.py
+++ b/bronzesail/router/store.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from ..platform import StoreWire
+from ..platform import SERVER_TABLE, StoreWire
 from .client import Call, ClientPool, ConnectError
 from .clocks import StoreClock, read_clock
 
@@ -16,6 +16,7 @@
     from collections.abc import Sequence
 
     from ..model import (
+        AnswerHead,
         HostSettings,
         Row,
         RowCheck,
@@ -28,6 +29,7 @@
     from .store_era import StoreEra
 
 __all__ = [
+    "CallLostError",
     "ConflictError",
     "EraChangedError",
     "HistoryLostError",
@@ -39,6 +41,10 @@
 CALL_TIMEOUT_S = 1.0
 # Added to the wait time of a watch; responses slowed 90 times take 0.45 s.
 WATCH_MARGIN_S = 0.8
+# While a call is overdue, short reads show whether the store answers others. The link
+# between regions may delay each of their packets by 0.3 s.
+PROBE_TIMEOUT_S = 0.8
+PROBE_INTERVAL_S = 0.25
 # Weight of one write in the moving average; a router makes ten writes in 2 to 20 s.
 LATENCY_WEIGHT = 0.1
 PAGE_ROWS = 500  # The most rows that the store returns in one response.
@@ -52,6 +58,16 @@
         self.is_unknown = is_unknown
 
 
+class CallLostError(StoreError):
+    """Raised when the store answers later calls, but not this one.
+
+    It was sent while the store was silent, or its connection has gone silent.
+    """
+
+    def __init__(self) -> None:
+        super().__init__("later calls were answered", is_unknown=True)
+
+
 class ConflictError(StoreError):
     """Raised when a row does not have the expected version.
 
@@ -124,6 +140,9 @@
         self.failures_in_a_row = 0
         # Moving average of writes, which drops to a lower value at once.
         self.latency_s = math.inf
+        # When the call was sent that was sent last among those that were answered.
+        self._last_answered_sent_at = -math.inf
+        self._probe_lock = asyncio.Lock()
 
     async def transact(
         self,
@@ -156,14 +175,24 @@
         """Return all rows of a part of a table, with the version of the first page.
 
         Rows of later pages may be newer than that version; a watch from it reports
-        them again. The timeout of each page is multiplied by `timeout_factor`.
+        them again. The timeout of each page is multiplied by `timeout_factor`, as
+        long as the store answers no later call.
+
+        Raises
+        ------
+        CallLostError
+            If the store has answered a later call instead.
+        StoreError
+            If the call failed.
         """
         first: RowsAnswer | None = None
         start = ""
         rows: list[Row] = []
         while True:
             encoded = self._wire.encode_read(table, part, start, PAGE_ROWS)
-            reply = await self._call(encoded, CALL_TIMEOUT_S * timeout_factor)
+            reply = await self._call(
+                encoded, CALL_TIMEOUT_S, CALL_TIMEOUT_S * timeout_factor
+            )
             if reply.status != 200:
                 raise StoreError(f"status {reply.status}")
             answer = self._decode(reply)
@@ -209,10 +238,13 @@
     ) -> RowsAnswer:
         """Return the changes of a table after `since`, or none after `wait_s`.
 
-        The timeout that is added to `wait_s` is multiplied by `timeout_factor`.
+        The timeout that is added to `wait_s` is multiplied by `timeout_factor`, as long
+        as the store answers no later call.
 
         Raises
         ------
+        CallLostError
+            If the store has answered a later call instead.
         HistoryLostError
             If the store no longer has these changes.
         EraChangedError
@@ -223,7 +255,11 @@
         if since.era != self.era.current:
             raise EraChangedError
         encoded = self._wire.encode_watch(table, since.number, wait_s)
-        reply = await self._call(encoded, wait_s + WATCH_MARGIN_S * timeout_factor)
+        reply = await self._call(
+            encoded,
+            wait_s + WATCH_MARGIN_S,
+            wait_s + WATCH_MARGIN_S * timeout_factor,
+        )
         if reply.status == 410:
             raise HistoryLostError("change history is no longer available")
         if reply.status != 200:
@@ -248,8 +284,51 @@
             self.clock.observe(answer.clock_s, reply.sent_at, reply.received_at)
         return answer
 
+    async def _await_response(
+        self, call: Call, timeout_s: float, max_timeout_s: float
+    ) -> tuple[AnswerHead, bytes]:
+        """Return the response to a call, which is overdue after `timeout_s`.
+
+        An overdue call is either delayed by a congested link, which its retry would
+        only congest further, or lost. It is lost if later calls are answered.
+        """
+        watchdog: asyncio.Task[None] | None = None
+        if max_timeout_s > timeout_s:
+            watchdog = self._loop.create_task(self._fail_if_lost(call, timeout_s))
+        try:
+            return await call.wait(max_timeout_s)
+        except OSError as error:  # Includes TimeoutError.
+            self.failures_in_a_row += 1
+            raise StoreError(f"no response: {error!r}", is_unknown=True) from error
+        finally:
+            if watchdog is not None:
+                watchdog.cancel()
+
+    async def _fail_if_lost(self, call: Call, timeout_s: float) -> None:
+        """Fail a call once it is overdue and a later one is answered."""
+        await asyncio.sleep(timeout_s)
+        overdue_at = read_clock()
+        while self._last_answered_sent_at < overdue_at:
+            async with self._probe_lock:
+                if self._last_answered_sent_at < overdue_at:
+                    await self._probe()
+        if not call.has_begun:
+            call.fail(CallLostError())
+
+    async def _probe(self) -> None:
+        """Make a short read, which shows whether the store answers."""
+        encoded = self._wire.encode_read(SERVER_TABLE, "", "", 1)
+        try:
+            await self._call(encoded, PROBE_TIMEOUT_S)
+        except StoreError as error:
+            self._log.write("store: probe failed", reason=str(error))
+            await asyncio.sleep(PROBE_INTERVAL_S)
+
     async def _call(
-        self, encoded: tuple[bytes, bytes, bytes, bytes], timeout_s: float
+        self,
+        encoded: tuple[bytes, bytes, bytes, bytes],
+        timeout_s: float,
+        max_timeout_s: float = 0.0,
     ) -> _Reply:
         method, target, header_lines, body = encoded
         store = self.settings.store
@@ -273,16 +352,15 @@
         call = Call(self._loop)
         try:
             connection.start(request, call)
-            head, answer = await call.wait(timeout_s)
-        except OSError as error:  # Includes TimeoutError.
-            connection.close()
-            self.failures_in_a_row += 1
-            raise StoreError(f"no response: {error!r}", is_unknown=True) from error
-        except asyncio.CancelledError:
+            head, answer = await self._await_response(
+                call, timeout_s, max(timeout_s, max_timeout_s)
+            )
+        except (StoreError, asyncio.CancelledError):
             connection.close()
             raise
         self._pool.release(connection)
         received_at = read_clock()
+        self._last_answered_sent_at = max(self._last_answered_sent_at, sent_at)
         if head.malformed:
             self._log.write("store: malformed header ignored", headers=head.malformed)
         # An answer without an era is taken to be of the era that is known.
--- a/bronzesail/router/watches.py
+++ b/bronzesail/router/watches.py
@@ -13,7 +13,7 @@
     decode_configuration,
     decode_server,
 )
-from .store import EraChangedError, HistoryLostError, StoreError
+from .store import CallLostError, EraChangedError, HistoryLostError, StoreError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -177,7 +177,7 @@
                 # All routers of the fleet learn of this at the same moment.
                 await asyncio.sleep(random.uniform(0, FULL_READ_SPREAD_S))
             except StoreError as error:
-                self._note_call_failure(str(error))
+                self._note_call_failure(error)
                 await asyncio.sleep(self._find_retry_s(self._failures))
 
     async def _follow(self) -> None:
@@ -245,7 +245,7 @@
         """Factor of the timeouts, doubled by each failure in a row.
 
         A congested link delays responses; a retry after the same short timeout would
-        only add to the load.
+        only add to the load. A call that is lost is given up earlier.
         """
         return min(1 << self._failures, MAX_BACKOFF)
 
@@ -256,7 +256,8 @@
             self._note_store_recovered()
         self._set_in_step(True, "answer")
 
-    def _note_call_failure(self, reason: str) -> None:
+    def _note_call_failure(self, error: StoreError) -> None:
+        reason = str(error)
         took_s = asyncio.get_running_loop().time() - self._call_started_at
         self._log.write(
             "store: call failed",
@@ -264,7 +265,8 @@
             reason=reason,
             took_s=round(took_s, 3),
         )
-        self._failures += 1
+        # After a lost call the store is known to answer in time.
+        self._failures = 0 if isinstance(error, CallLostError) else self._failures + 1
         self.has_lost_store = True
         self._set_in_step(False, reason)
 
