router: the request rate that a server announces is shared by the routers

Callers saw nothing. Cause: Server-Limit was neither decoded nor known to the choice of a server. Class: a limit on the whole fleet that each router has to keep without asking the others. Weighed (docs/design/100-platform.md): equal shares with one request ahead send 12.8 in 4 s with eight routers and 84 with 79; a keeper of the count costs a round trip for each request. Change: a few routers share a limit (two, and three more for each two requests a second), by region and rendezvous hash; the others send nothing there, and go to other servers or are refused at once. Announcements are passed on in a packet of their own, with their age. The queue sends waiting requests as the limit allows. Before: test_all_routers_together_keep_to_the_limit_of_a_server fails, 60 requests in 4 s. Tests: tests/test_router and tests/test_platform pass.

--- a/bronzesail/router/admission_queue.py
+++ b/bronzesail/router/admission_queue.py
@@ -5,6 +5,7 @@
 import asyncio
 import heapq
 import itertools
+import math
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
@@ -17,6 +18,7 @@
 if TYPE_CHECKING:
     from .directory import Directory
     from .placement import Placement
+    from .server_limits import ServerLimits
 
 __all__ = ["AdmissionQueue"]
 
@@ -48,11 +50,17 @@
         The usable servers.
     placement : Placement
         Tracks the servers' loads and chooses among them.
+    limits : ServerLimits
+        The request rates that servers have announced.
     """
 
-    def __init__(self, directory: Directory, placement: Placement) -> None:
+    def __init__(
+        self, directory: Directory, placement: Placement, limits: ServerLimits
+    ) -> None:
         self._directory = directory
         self._placement = placement
+        self._limits = limits
+        self._permit_timers: dict[str, asyncio.TimerHandle] = {}
         self._queues: dict[str, list[tuple[int, int, _QueuedRequest]]] = {}
         self._sequence = itertools.count()
 
@@ -107,18 +115,24 @@
     def find_resume_time(
         self, service: str, excluded: Sequence[str] = ()
     ) -> float | None:
-        """Return when the first server ends its pause, None unless all pause.
+        """Return when the first server accepts a request of this router again.
 
-        Servers whose ids are in `excluded` do not count.
+        This is None unless all pause or limit their rate now, and infinite if this
+        router has no share of any limit. Servers whose ids are in `excluded` do not
+        count.
         """
         earliest = None
+        now = asyncio.get_running_loop().time()
         for server in self._directory.list_usable(service):
             if server.id in excluded:
                 continue
-            ends_at = self._directory.withdrawals.find_pause_end(server)
-            if ends_at is None:
+            resume_at = now + self._limits.find_wait_s(server)
+            pause_end = self._directory.withdrawals.find_pause_end(server)
+            if pause_end is not None:
+                resume_at = max(resume_at, pause_end)
+            if resume_at <= now:
                 return None
-            earliest = ends_at if earliest is None else min(earliest, ends_at)
+            earliest = resume_at if earliest is None else min(earliest, resume_at)
         return earliest
 
     def note_pause(self, service: str, ends_at: float) -> None:
@@ -162,6 +176,7 @@
                 service, queued.work, queued.engine, queued.excluded
             )
             if server is None:
+                self._dispatch_at_next_permit(service)
                 return
             heapq.heappop(queue)
             queued.future.set_result(server)
@@ -170,6 +185,21 @@
             asyncio.get_running_loop().call_soon(self.dispatch, service)
             return
 
+    def _dispatch_at_next_permit(self, service: str) -> None:
+        """Dispatch again when a server with a limit accepts the next request."""
+        waits_s = [
+            self._limits.find_wait_s(server)
+            for server in self._directory.list_usable(service)
+        ]
+        wait_s = min((w for w in waits_s if 0 < w < math.inf), default=None)
+        if wait_s is None:
+            return
+        timer = self._permit_timers.pop(service, None)
+        if timer is not None:
+            timer.cancel()
+        loop = asyncio.get_running_loop()
+        self._permit_timers[service] = loop.call_later(wait_s, self.dispatch, service)
+
     def _recheck(self, service: str) -> None:
         """Retry now, and once more later if requests are still queued."""
         self.dispatch(service)
@@ -184,7 +214,10 @@
         engine: Engine | None,
         excluded: Sequence[str],
     ) -> BackendServer | None:
-        """Return the best server with capacity, or None if all are full."""
+        """Return the best server with capacity, or None if all are full.
+
+        If the server has a limit, the request uses up a permit.
+        """
         servers = self._directory.list_usable(service)
         now = asyncio.get_running_loop().time()
         requests_per_slot = (
@@ -192,6 +225,8 @@
         )
         available = []
         for server in servers:
+            if self._limits.find_wait_s(server) > 0:
+                continue
             share = self._directory.withdrawals.compute_share(server)
             capacity = server.slots * requests_per_slot * share
             estimated = self._placement.estimate_requests(server.id, now)
@@ -202,4 +237,7 @@
                 capacity = max(1.0, capacity)
             if estimated < capacity:
                 available.append(server)
-        return self._placement.choose(available, work, engine, excluded)
+        chosen = self._placement.choose(available, work, engine, excluded)
+        if chosen is not None:
+            self._limits.take_permit(chosen)
+        return chosen
--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -41,6 +41,7 @@
 from .placement import Placement
 from .poison import PoisonList
 from .reservation_queue import ReservationQueue
+from .server_limits import ServerLimits
 from .services import Services
 from .store import StoreClient
 from .store_era import StoreEra
@@ -56,6 +57,7 @@
     from ..errors import Refusal
     from ..model import Configuration
     from .budget_rows import HolderRow
+    from .server_limits import LimitReport
 
 __all__ = ["Application", "main"]
 
@@ -143,7 +145,6 @@
         self.directory = Directory(loop.time)
         self.era.subscribe(lambda _: self.directory.note_store_restored())
         self.placement = Placement(loop.time, settings.zone, settings.region_by_zone)
-        self.line = AdmissionQueue(self.directory, self.placement)
         self.neighbourhood = Neighbourhood(
             settings.host,
             settings.zone,
@@ -152,6 +153,10 @@
             settings.region_by_zone,
             self._internal_address,
         )
+        self.limits = ServerLimits(
+            read_clock, settings.host, self.neighbourhood.list_nearest
+        )
+        self.line = AdmissionQueue(self.directory, self.placement, self.limits)
         self.book = BudgetBook(
             settings.host,
             address,
@@ -184,6 +189,8 @@
             lambda ask: self.desk.serve_ask(ask),
             self._serve_waiters,
             self.incarnation,
+            self.limits,
+            self._log_limits,
         )
         self.desk = ReservationQueue(
             self.book,
@@ -212,6 +219,7 @@
             book=self.book,
             desk=self.desk,
             neighbourhood=self.neighbourhood,
+            limits=self.limits,
         )
         self.news = PeerSync(
             loop,
@@ -408,6 +416,7 @@
         withdrawals = self.directory.withdrawals
         set_state("servers_leaving", len(withdrawals.list_leaving()))
         set_state("servers_asked_for_pause", withdrawals.n_pauses)
+        set_state("servers_limited", self.limits.count_limited())
         set_state("store_era", self.era.current)
         set_state("store_restores", self.era.n_restores)
         set_state(
@@ -447,9 +456,20 @@
         if self.is_following_store:
             self._announce_change()
         self.placement.retain_only(self.directory.list_ids())
+        self.limits.retain_only(self.directory.list_ids())
         for service in self.directory.list_services():
             self.line.dispatch(service)
 
+    def _log_limits(self, reports: list[LimitReport]) -> None:
+        """Log the limits of servers that another router's reports have changed."""
+        for report in reports:
+            self.log.write(
+                "server: limit reported by a peer",
+                server=report.server_id,
+                rate_per_s=report.rate_per_s,
+                age_s=round(report.age_s, 3),
+            )
+
     def _serve_waiters(self) -> None:
         """Give new tokens to the requests that wait for them."""
         self.desk.serve_waiters()
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import itertools
+import math
 from typing import TYPE_CHECKING
 
 from ..errors import Refusal, ResultCode
@@ -349,8 +350,8 @@
     def _refuse_if_hopeless(self, wait_until: float) -> None:
         """Refuse the request at once if no server can be expected to accept it in time.
 
-        That is so if all servers have been tried, or have asked for a pause that lasts
-        longer than the request may wait.
+        That is so if all servers have been tried, or accept no request of this router
+        for longer than the request may wait.
         """
         usable = self._services.directory.list_usable(self._service)
         if not usable:
@@ -363,9 +364,10 @@
     def _make_overloaded_error(self, resume_at: float | None = None) -> _RefusedError:
         """Return the refusal of a request that finds no place at a server.
 
-        `resume_at` is when the first server ends its pause, None if not all pause.
+        `resume_at` is when the first server accepts requests of this router again,
+        None if one does now; see `AdmissionQueue.find_resume_time`.
         """
-        if resume_at is None:
+        if resume_at is None or math.isinf(resume_at):
             retry_s = OVERLOADED_RETRY_AFTER_S * self._services.random.uniform(
                 0.75, 1.25
             )
@@ -375,7 +377,7 @@
         pause_s = resume_at - self._loop.time()
         return self._make_refusal_error(
             ResultCode.OVERLOADED,
-            "all servers have asked for a pause",
+            "all servers pause or limit their requests",
             retry_after_s=pause_s * self._services.random.uniform(1.0, 1.25),
         )
 
--- a/bronzesail/router/messages.py
+++ b/bronzesail/router/messages.py
@@ -15,6 +15,7 @@
 from ..model import StoreVersion
 from .crashing_parts import PartReport
 from .poison import CrashCount  # noqa: TC001  Decoded at run time.
+from .server_limits import LimitReport  # noqa: TC001  Decoded at run time.
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -24,6 +25,7 @@
     "PACKET_BYTES",
     "CrashReport",
     "Hello",
+    "LimitReports",
     "TokenRequest",
     "TokenTransfer",
     "TransferConfirmation",
@@ -32,6 +34,7 @@
     "select_crashes",
     "select_free",
     "select_leaving",
+    "select_limits",
     "select_part_report",
 ]
 
@@ -43,6 +46,7 @@
 MAX_PART_CRASH_BYTES = 180
 MAX_BEGUN_BYTES = 70
 MAX_HELLO_CRASHES = 10
+MAX_LIMIT_BYTES = 1400  # Reports of limits have a packet of their own.
 
 T = TypeVar("T")
 
@@ -77,6 +81,12 @@
     host_lists: dict[str, int] = {}
 
 
+class LimitReports(msgspec.Struct, tag="limits"):
+    """Announcements of backend servers that have changed; see `ServerLimits`."""
+
+    reports: list[LimitReport]
+
+
 class CrashReport(msgspec.Struct):
     """All crashes that a router knows of, by request and by prompt part."""
 
@@ -176,6 +186,13 @@
     )
 
 
+def select_limits(latest_first: Iterable[LimitReport]) -> list[LimitReport]:
+    """Return the latest reports of limits, as many as one packet has room for."""
+    return _take_within(
+        latest_first, MAX_LIMIT_BYTES, lambda report: len(report.server_id) + 30
+    )
+
+
 def _take_within(
     items: Iterable[T], max_bytes: int, measure: Callable[[T], int]
 ) -> list[T]:
--- a/bronzesail/router/peers.py
+++ b/bronzesail/router/peers.py
@@ -19,10 +19,12 @@
 
 from .messages import (
     Hello,
+    LimitReports,
     TokenRequest,
     TokenTransfer,
     TransferConfirmation,
     compute_hosts_digest,
+    select_limits,
 )
 from .neighbourhood import Allocator, Neighbour
 
@@ -33,6 +35,7 @@
     from .budget import BudgetBook
     from .log import Log
     from .neighbourhood import Neighbourhood
+    from .server_limits import LimitReport, ServerLimits
 
 __all__ = ["Peer", "Peers"]
 
@@ -81,6 +84,10 @@
         Called after tokens were received.
     incarnation : str
         Id of this process; prefix of the ids of its requests and transfers.
+    limits : ServerLimits
+        The limits of servers, which are passed on.
+    on_limits : callable
+        Called with the limits that another router's reports have changed.
     """
 
     def __init__(
@@ -96,6 +103,8 @@
         ],
         on_tokens: Callable[[], None],
         incarnation: str,
+        limits: ServerLimits,
+        on_limits: Callable[[list[LimitReport]], None],
     ) -> None:
         self._loop = loop
         self._book = book
@@ -106,6 +115,8 @@
         self._on_token_request = on_token_request
         self._on_tokens = on_tokens
         self._incarnation = incarnation
+        self._limits = limits
+        self._on_limits = on_limits
         self._reply_tasks: dict[str, asyncio.Task[None]] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._sequence = itertools.count(1)
@@ -114,7 +125,7 @@
         self._received_transfers: dict[str, float] = {}
         self._confirmations: dict[str, asyncio.Future[None]] = {}
         self._message_decoder = msgspec.msgpack.Decoder(
-            Hello | TokenRequest | TokenTransfer | TransferConfirmation
+            Hello | LimitReports | TokenRequest | TokenTransfer | TransferConfirmation
         )
         self.by_host: dict[str, Peer] = {}
 
@@ -152,6 +163,7 @@
         encoded = msgspec.msgpack.encode(hello)
         for address in neighbourhood.list_hello_addresses():
             self._send(encoded, address)
+        self._send_limits(is_leader=is_leader)
         if not is_leader:
             return
         hello.host_lists = {hello.zone: self._digest_hosts(hello.zone)}
@@ -159,6 +171,18 @@
         for address in neighbourhood.list_other_leaders():
             self._send(encoded, address)
 
+    def _send_limits(self, *, is_leader: bool) -> None:
+        """Pass on what servers have announced, to the receivers of the hellos."""
+        reports = select_limits(self._limits.list_reports(include_all=is_leader))
+        if not reports:
+            return
+        encoded = msgspec.msgpack.encode(LimitReports(reports))
+        addresses = self._neighbourhood.list_hello_addresses()
+        if is_leader:
+            addresses += self._neighbourhood.list_other_leaders()
+        for address in addresses:
+            self._send(encoded, address)
+
     def _digest_hosts(self, zone: str) -> int:
         return compute_hosts_digest(self._neighbourhood.list_hosts(zone))
 
@@ -302,6 +326,8 @@
         address = (str(addr[0]), int(addr[1]))
         if isinstance(message, Hello):
             self._handle_hello(message, address)
+        elif isinstance(message, LimitReports):
+            self._on_limits(self._limits.merge(message.reports))
         elif isinstance(message, TokenRequest):
             self._handle_request(message, address)
         elif isinstance(message, TokenTransfer):
--- a/bronzesail/router/services.py
+++ b/bronzesail/router/services.py
@@ -23,6 +23,7 @@
 from .poison import PoisonList
 from .reservation_queue import ReservationQueue
 from .retry_budget import RetryBudget
+from .server_limits import ServerLimits
 from .watches import ConfigurationKeeper
 
 if TYPE_CHECKING:
@@ -58,6 +59,7 @@
     book: BudgetBook
     desk: ReservationQueue
     neighbourhood: Neighbourhood
+    limits: ServerLimits
     _retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     _probed_at: dict[str, float] = attrs.field(factory=dict)
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
@@ -113,6 +115,12 @@
             )
         if head.status == 421:
             return
+        if self.limits.note_answer(server, head.max_rate_per_s):
+            self.log.write(
+                "server: limit changed",
+                server=server.id,
+                rate_per_s=head.max_rate_per_s,
+            )
         if head.is_leaving and self.directory.note_leaving(server):
             self.log.write("server: leaving by its own word", server=server.id)
         if head.pause_s:
--- a/tests/test_router/test_withdrawals.py
+++ b/tests/test_router/test_withdrawals.py
@@ -13,6 +13,7 @@
 from bronzesail.router.admission_queue import AdmissionQueue
 from bronzesail.router.directory import Directory
 from bronzesail.router.placement import Placement, Work
+from bronzesail.router.server_limits import ServerLimits
 from bronzesail.router.withdrawals import (
     MAX_PAUSE_S,
     MIN_RAMP_SHARE,
@@ -380,7 +381,8 @@
         placement = Placement(loop.time, "z1", {"z1": "r1"})
         for number in range(4):
             placement.note_sent("a", Work(), number)
-        queue = AdmissionQueue(directory, placement)
+        limits = ServerLimits(loop.time, "h1", lambda *_: ["h1"])
+        queue = AdmissionQueue(directory, placement, limits)
         deadline = loop.time() + 10 * WAIT_TIMEOUT_S
         search = asyncio.create_task(
             queue.find_server("s", Work(), None, [], 1, deadline)
