router: a limit ends only with an answer to a request that was executed

Found by reading: a rejection (503, full) or an answer without a seal that does not repeat Server-Limit ended the limit at all routers until the next answer that names it. Whether servers repeat it in rejections is not said. Before: two of the five new cases fail (an unsealed answer, a rejection). After: they pass.

--- a/bronzesail/router/services.py
+++ b/bronzesail/router/services.py
@@ -115,12 +115,7 @@
             )
         if head.status == 421:
             return
-        if self.limits.note_answer(server, head.max_rate_per_s):
-            self.log.write(
-                "server: limit changed",
-                server=server.id,
-                rate_per_s=head.max_rate_per_s,
-            )
+        self._note_limit(server, head)
         if head.is_leaving and self.directory.note_leaving(server):
             self.log.write("server: leaving by its own word", server=server.id)
         if head.pause_s:
@@ -130,6 +125,20 @@
             )
             self.admission_queue.note_pause(server.service, ends_at)
 
+    def _note_limit(self, server: BackendServer, head: AnswerHead) -> None:
+        """Record the limit that an answer names, or that it names none.
+
+        Only an answer to a request that was executed shows that a limit has ended.
+        """
+        if head.max_rate_per_s is None and (head.is_not_run or not head.is_sealed):
+            return
+        if self.limits.note_answer(server, head.max_rate_per_s):
+            self.log.write(
+                "server: limit changed",
+                server=server.id,
+                rate_per_s=head.max_rate_per_s,
+            )
+
     def note_crash(
         self, server: BackendServer, request_id: str | None, parts: Sequence[str]
     ) -> asyncio.Task[None]:
--- a/tests/test_router/test_server_limits.py
+++ b/tests/test_router/test_server_limits.py
@@ -330,3 +330,31 @@
         assert math.isinf(queue.find_resume_time("s"))
 
     run_with_queue(["h2"], scenario)
+
+
+# A rejection that does not repeat the limit does not end it.
+@pytest.mark.parametrize(
+    ("status", "headers", "is_limited"),
+    [
+        (200, [(b"X-Server-Seal", b"seal")], False),
+        (500, [(b"X-Server-Seal", b"seal")], False),
+        (200, [], True),
+        (503, [(b"X-Server-Seal", b"seal"), (b"X-Not-Executed", b"1")], True),
+        (421, [(b"X-Server-Seal", b"seal")], True),
+    ],
+)
+def test_a_limit_ends_with_an_answer_to_an_executed_request(
+    tmp_path, status, headers, is_limited
+):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            router = await deployment.start_router("h1")
+            services = router.app.services
+            services.limits.note_answer(SERVER, 1.0)
+            reader = AnswerHeadReader()
+            for name, value in headers:
+                reader.add(name, value)
+            services.note_answer_head(SERVER, reader.finish(status))
+            assert (services.limits.find_rate(SERVER) is not None) is is_limited
+
+    asyncio.run(run())
