--- a/tests/test_router/test_watches.py
+++ b/tests/test_router/test_watches.py
@@ -46,6 +46,18 @@
         return await self.answers.get()
 
 
+def make_watch(store, directory, find_retry_s=lambda failures: 0.0):
+    return ServerWatch(
+        store,
+        RecordingLog(),
+        lambda: True,
+        lambda: None,
+        find_retry_s,
+        directory,
+        lambda: None,
+    )
+
+
 def answer(number, *rows, era=0):
     version = StoreVersion(era, number)
     return RowsAnswer(rows=list(rows), has_more=False, version=version, clock_s=0.0)
@@ -57,15 +69,7 @@
     async def run():
         loop = asyncio.get_running_loop()
         store, directory = ScriptedStore(), Directory(loop.time)
-        watch = ServerWatch(
-            store,
-            RecordingLog(),
-            lambda: True,
-            lambda: None,
-            lambda failures: 0.0,
-            directory,
-            lambda: None,
-        )
+        watch = make_watch(store, directory)
         task = loop.create_task(watch.run())
         store.answers.put_nowait(answer(5, make_row("a", "ready", 5)))
         await wait_until(lambda: store.watched_versions)
@@ -112,15 +116,8 @@
             failure_counts.append(failures)
             return 0.0
 
-        watch = ServerWatch(
-            store,
-            RecordingLog(),
-            lambda: True,
-            lambda: None,
-            find_retry_s,
-            Directory(asyncio.get_running_loop().time),
-            lambda: None,
-        )
+        directory = Directory(asyncio.get_running_loop().time)
+        watch = make_watch(store, directory, find_retry_s)
         task = asyncio.create_task(watch.run())
         await wait_until(lambda: len(store.timeout_factors) == 7)
         task.cancel()
@@ -154,15 +151,7 @@
 
     async def run():
         store = ScriptedStore()
-        watch = ServerWatch(
-            store,
-            RecordingLog(),
-            lambda: True,
-            lambda: None,
-            lambda failures: 0.0,
-            directory,
-            lambda: None,
-        )
+        watch = make_watch(store, directory)
         task = asyncio.create_task(watch.run())
         store.answers.put_nowait(answer(5, make_row("a", "ready", 5)))
         store.answers.put_nowait(answer(9, *changes))
