router: a router that starts is told the limits of the servers at once

Found by reading: peers report a limit when it changes, and every 5 s; a router that started in between sent its requests without a limit until a server's first answer told it. Before: the new test fails (TimeoutError; the refresh is off in it). After: it passes.

--- a/bronzesail/router/peers.py
+++ b/bronzesail/router/peers.py
@@ -173,13 +173,18 @@
 
     def _send_limits(self, *, is_leader: bool) -> None:
         """Pass on what servers have announced, to the receivers of the hellos."""
-        reports = select_limits(self._limits.list_reports(include_all=is_leader))
-        if not reports:
-            return
-        encoded = msgspec.msgpack.encode(LimitReports(reports))
         addresses = self._neighbourhood.list_hello_addresses()
         if is_leader:
             addresses += self._neighbourhood.list_other_leaders()
+        self._send_reports(self._limits.list_reports(include_all=is_leader), addresses)
+
+    def _send_reports(
+        self, reports: list[LimitReport], addresses: list[tuple[str, int]]
+    ) -> None:
+        """Send the latest reports, as many as fit into one packet."""
+        if not reports:
+            return
+        encoded = msgspec.msgpack.encode(LimitReports(select_limits(reports)))
         for address in addresses:
             self._send(encoded, address)
 
@@ -364,6 +369,7 @@
                 peer=hello.host,
                 incarnation=hello.incarnation,
             )
+            self._send_reports(self._limits.list_reports(include_all=True), [address])
         self.by_host[hello.host] = peer
         self._on_hello(peer)
 
--- a/tests/test_router/test_server_limits.py
+++ b/tests/test_router/test_server_limits.py
@@ -10,6 +10,7 @@
 import pytest
 
 from bronzesail.platform import AnswerHeadReader
+from bronzesail.router import server_limits
 from bronzesail.router.admission_queue import AdmissionQueue
 from bronzesail.router.directory import Directory
 from bronzesail.router.messages import PACKET_BYTES, LimitReports, select_limits
@@ -358,3 +359,23 @@
             assert (services.limits.find_rate(SERVER) is not None) is is_limited
 
     asyncio.run(run())
+
+
+# A router that starts knew of no limit until the server's first answer to it, or the
+# next refresh.
+def test_a_router_that_starts_is_told_the_limits_at_once(tmp_path, monkeypatch):
+    monkeypatch.setattr(server_limits, "NOTICE_S", 0.0)
+
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            deployment.store.put("op", "config", make_configuration())
+            limited = await deployment.start_backend("p1", "app", echo_body)
+            limited.more_headers = (("Server-Limit", "1.2"),)
+            first = await deployment.start_router("h1")
+            await wait_until(first.app.is_ready)
+            await deployment.send(first, "/look/1", method="GET")
+            second = await deployment.start_router("h2")
+            await wait_until(lambda: second.app.limits.count_limited() == 1)
+            assert len(limited.requests) == 1
+
+    asyncio.run(run())
