--- a/bronzesail/router/server_limits.py
+++ b/bronzesail/router/server_limits.py
@@ -72,7 +72,8 @@
     heard_at : float
         When a router received the announcement from the server.
     noted_at : float
-        When this router learned of a change, or last had reason to report it.
+        When the limit last changed here, or an answer last gave cause to report it
+        again.
     share_per_s : float
         Requests a second that this router may send.
     computed_at : float
@@ -119,16 +120,26 @@
         self._announcements: dict[str, _Announcement] = {}
 
     def note_answer(self, server: BackendServer, rate_per_s: float | None) -> bool:
-        """Record what an answer says of its server's limit; return if this is new."""
+        """Record what an answer says of its server's limit.
+
+        Returns whether this changes the limit. `rate_per_s` is None if the answer names
+        no limit.
+        """
         if rate_per_s is None and server.id not in self._announcements:
             return False
-        return self._note(LimitReport(server.id, server.born_ms, rate_per_s, 0.0))
+        if self._note(LimitReport(server.id, server.born_ms, rate_per_s, 0.0)):
+            return True
+        known = self._announcements[server.id]
+        if self._now() - known.noted_at > REFRESH_S:
+            known.noted_at = self._now()
+        return False
 
     def merge(self, reports: Iterable[LimitReport]) -> list[LimitReport]:
         """Record the reports of another router; return those that changed a limit."""
         return [report for report in reports if self._note(report)]
 
     def _note(self, report: LimitReport) -> bool:
+        """Record an announcement unless it is older than what is known."""
         now = self._now()
         heard_at = now - max(0.0, report.age_s)
         known = self._announcements.get(report.server_id)
@@ -144,8 +155,6 @@
             return False
         known.heard_at = heard_at
         if report.rate_per_s == known.rate_per_s:
-            if not report.age_s and now - known.noted_at > REFRESH_S:
-                known.noted_at = now
             return False
         if known.rate_per_s is None:
             known.share_per_s = 0.0
--- a/tests/test_router/test_watches.py
+++ b/tests/test_router/test_watches.py
@@ -8,7 +8,7 @@
 from bronzesail.model import Row, RowsAnswer, StoreVersion
 from bronzesail.platform import decode_server
 from bronzesail.router.directory import LAPSE_GRACE_S, Directory
-from bronzesail.router.store import StoreError
+from bronzesail.router.store import CallLostError, StoreError
 from bronzesail.router.watches import MAX_BACKOFF, ServerWatch
 from tests.platform_standin import wait_until
 from tests.router_fakes import RecordingLog
@@ -184,3 +184,25 @@
     directory = Directory(lambda: 0.0)
     apply_changes(directory, [remove_row("a", 6), make_row("a", "ready", 7)])
     assert [server.id for server in directory.list_usable("s")] == ["a"]
+
+
+class LostCallStore(SlowStore):
+    """Store client whose third call is lost, after two that failed."""
+
+    async def read_table(self, table, part="", timeout_factor=1):
+        if len(self.timeout_factors) == 2:
+            self.timeout_factors.append(timeout_factor)
+            raise CallLostError
+        return await super().read_table(table, part, timeout_factor)
+
+
+def test_the_usual_timeouts_hold_again_after_a_lost_call():
+    async def run():
+        store = LostCallStore(4)
+        directory = Directory(asyncio.get_running_loop().time)
+        task = asyncio.create_task(make_watch(store, directory).run())
+        await wait_until(lambda: len(store.timeout_factors) == 6)
+        task.cancel()
+        assert store.timeout_factors == [1, 2, 4, 1, 2, 1]
+
+    asyncio.run(run())
