--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -57,6 +57,9 @@
 PART_TESTS = "tests/test_router/test_crashing_parts.py"
 HELLO_TESTS = "tests/test_router/test_large_fleet.py"
 
+SILENT_STORE_TESTS = "tests/test_router/test_silent_store.py"
+WATCH_TESTS = "tests/test_router/test_watches.py"
+LIMIT_TESTS = "tests/test_router/test_server_limits.py"
 RESTORE_TESTS = "tests/test_router/test_store_restore.py"
 
 MUTANTS = (
@@ -522,6 +525,49 @@
         "first_row_at = self.now() - 1e9",
         RESTORE_TESTS,
     ),
+    Mutant(
+        "a response that has begun is not given up",
+        "bronzesail/router/store.py",
+        "        if not call.has_begun:",
+        "        if True:",
+        SILENT_STORE_TESTS,
+    ),
+    Mutant(
+        "a call is lost only if a later one is answered",
+        "bronzesail/router/store.py",
+        "        while self._last_answered_sent_at < overdue_at:",
+        "        while False:",
+        SILENT_STORE_TESTS,
+    ),
+    Mutant(
+        "changes of servers are applied in the order of the store",
+        "bronzesail/router/watches.py",
+        "        for row in rows:\n            if row.is_removed:",
+        "        for row in sorted(rows, key=lambda row: not row.is_removed):\n"
+        "            if row.is_removed:",
+        WATCH_TESTS,
+    ),
+    Mutant(
+        "a router without a share of a limit sends nothing",
+        "bronzesail/router/server_limits.py",
+        " if self._host in sharers else 0.0",
+        "",
+        LIMIT_TESTS,
+    ),
+    Mutant(
+        "a new sharer of a limit has saved up nothing",
+        "bronzesail/router/server_limits.py",
+        "known.permits, known.updated_at = min(0.0, known.permits), now",
+        "known.permits, known.updated_at = 5.0, now",
+        LIMIT_TESTS,
+    ),
+    Mutant(
+        "a rejection does not end a limit",
+        "bronzesail/router/services.py",
+        "(head.is_not_run or not head.is_sealed)",
+        "False",
+        LIMIT_TESTS,
+    ),
 )
 
 
