router: queued requests count in the time until a limit lets a new one through

Callers see: where all servers of a service limit their rate, requests that could not be served were held for a quarter of their time. Cause: a request was refused at once only if the next permit came too late, whoever waited for it. Change: the requests of the same or a higher priority that are queued are added, at the rate of this router's shares; Retry-After tells the time that follows from it.

--- a/bronzesail/router/admission_queue.py
+++ b/bronzesail/router/admission_queue.py
@@ -113,16 +113,26 @@
         return sum(not w.future.done() for _, _, w in self._queues.get(service, ()))
 
     def find_resume_time(
-        self, service: str, excluded: Sequence[str] = ()
+        self, service: str, excluded: Sequence[str] = (), rank: int | None = None
     ) -> float | None:
         """Return when the first server accepts a request of this router again.
 
         This is None unless all pause or limit their rate now, and infinite if this
-        router has no share of any limit. Servers whose ids are in `excluded` do not
-        count.
+        router has no share of any limit.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        excluded : sequence of str, optional
+            Ids of servers that do not count.
+        rank : int, optional
+            Priority of a new request. If all servers limit their rate, the queued
+            requests that go first use up what is accepted before.
         """
-        earliest = None
         now = asyncio.get_running_loop().time()
+        earliest = math.inf
+        shares: list[float | None] = []
         for server in self._directory.list_usable(service):
             if server.id in excluded:
                 continue
@@ -130,11 +140,22 @@
             pause_end = self._directory.withdrawals.find_pause_end(server)
             if pause_end is not None:
                 resume_at = max(resume_at, pause_end)
+            shares.append(self._limits.find_share(server))
             if resume_at <= now:
                 return None
-            earliest = resume_at if earliest is None else min(earliest, resume_at)
+            earliest = min(earliest, resume_at)
+        if not shares:
+            return None
+        limited = [share for share in shares if share is not None]
+        if rank is not None and len(limited) == len(shares) and sum(limited) > 0:
+            earliest += self._count_ahead(service, rank) / sum(limited)
         return earliest
 
+    def _count_ahead(self, service: str, rank: int) -> int:
+        """Return how many queued requests go before a new one of a priority."""
+        queue = self._queues.get(service, ())
+        return sum(other <= rank and not w.future.done() for other, _, w in queue)
+
     def note_pause(self, service: str, ends_at: float) -> None:
         """End the wait of requests that no server will accept in time.
 
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -356,7 +356,9 @@
         usable = self._services.directory.list_usable(self._service)
         if not usable:
             return
-        resume_at = self._services.admission_queue.find_resume_time(self._service)
+        resume_at = self._services.admission_queue.find_resume_time(
+            self._service, rank=self._priority
+        )
         is_pausing = resume_at is not None and resume_at > wait_until
         if is_pausing or all(s.id in self._tried_server_ids for s in usable):
             raise self._make_overloaded_error(resume_at)
--- a/bronzesail/router/server_limits.py
+++ b/bronzesail/router/server_limits.py
@@ -199,27 +199,31 @@
         limits = [known.rate_per_s for known in self._announcements.values()]
         return sum(rate_per_s is not None for rate_per_s in limits)
 
+    def find_share(self, server: BackendServer) -> float | None:
+        """Return the requests a second that this router may send, None without limit."""
+        if self.find_rate(server) is None:
+            return None
+        known = self._announcements[server.id]
+        self._count_permits(server, known)
+        return known.share_per_s
+
     def find_wait_s(self, server: BackendServer) -> float:
         """Return the time until this router may send the next request to a server.
 
         This is 0 if it may send one now, and infinite if it has no share of the
         server's limit.
         """
-        if self.find_rate(server) is None:
+        share_per_s = self.find_share(server)
+        if share_per_s is None:
             return 0.0
-        known = self._announcements[server.id]
-        self._count_permits(server, known)
-        if not known.share_per_s:
+        if not share_per_s:
             return math.inf
-        return max(0.0, 1 - known.permits) / known.share_per_s
+        return max(0.0, 1 - self._announcements[server.id].permits) / share_per_s
 
     def take_permit(self, server: BackendServer) -> None:
         """Record that a request is about to be sent to a server."""
-        if self.find_rate(server) is None:
-            return
-        known = self._announcements[server.id]
-        self._count_permits(server, known)
-        known.permits -= 1
+        if self.find_share(server) is not None:
+            self._announcements[server.id].permits -= 1
 
     def _count_permits(self, server: BackendServer, known: _Announcement) -> None:
         """Add the permits of the time since the last count."""
--- a/tests/test_router/test_server_limits.py
+++ b/tests/test_router/test_server_limits.py
@@ -80,6 +80,24 @@
     asyncio.run(run())
 
 
+def test_what_a_limit_leaves_no_room_for_is_refused_at_once(tmp_path):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            deployment.store.put("op", "config", make_configuration())
+            limited = await deployment.start_backend("p1", "app", echo_body)
+            limited.more_headers = (("Server-Limit", "3"),)
+            for number in range(N_ROUTERS):
+                await deployment.start_router(f"h{number}")
+            await wait_until(lambda: all(r.app.is_ready() for r in deployment.routers))
+            statuses = await send_requests(deployment, RUN_S)
+            times = [at for at, _ in limited.arrived_at]
+            since = times[0] + CONTACT_S
+            assert find_most_in_window(times, since) <= find_allowed(3)
+            assert set(statuses) == {200, 429}
+
+    asyncio.run(run())
+
+
 # A fleet whose routers share one limit, without sockets.
 
 STEP_S = 0.02
@@ -326,6 +344,24 @@
     run_with_queue(["h1"], scenario)
 
 
+# Requests behind more than the limit leaves time for waited in vain.
+def test_queued_requests_count_in_the_time_that_a_new_one_would_wait():
+    async def scenario(queue, loop):
+        deadline = loop.time() + 10 * WAIT_TIMEOUT_S
+        tasks = [
+            loop.create_task(queue.find_server("s", Work(), None, [], 1, deadline))
+            for _ in range(50)
+        ]
+        await wait_until(lambda: queue.count_waiting("s") == 50)
+        # A router that shares a limit of 5 with nobody needs 10 s for 50 requests.
+        assert queue.find_resume_time("s", rank=1) > loop.time() + 8.0
+        assert queue.find_resume_time("s", rank=0) < loop.time() + 2.0
+        for task in tasks:
+            task.cancel()
+
+    run_with_queue(["h1"], scenario)
+
+
 def test_a_router_without_a_share_expects_no_server():
     async def scenario(queue, loop):
         assert math.isinf(queue.find_resume_time("s"))
