--- a/bronzesail/router/server_limits.py
+++ b/bronzesail/router/server_limits.py
@@ -200,7 +200,7 @@
         return sum(rate_per_s is not None for rate_per_s in limits)
 
     def find_share(self, server: BackendServer) -> float | None:
-        """Return the requests a second that this router may send, None without limit."""
+        """Return the requests a second that this router may send, None if unlimited."""
         if self.find_rate(server) is None:
             return None
         known = self._announcements[server.id]
