--- a/bronzesail/router/server_limits.py
+++ b/bronzesail/router/server_limits.py
@@ -1,9 +1,9 @@
 """Shares the request rates that backend servers announce, without performing I/O.
 
-A server in need announces how many requests a second it accepts from all routers
-together. A few routers share that rate; the others send it nothing, since each router
-that sends at all may add a request to any short span. Each router computes the sharers
-on its own from the routers that it knows to be live.
+An overloaded server announces how many requests a second it accepts from all routers
+together. A few routers share that rate. The others send it nothing, since each router
+that sends to it may add one request to any short period. Each router determines the
+sharers on its own, from the routers that it knows to be live.
 
 Routers pass on what servers announce, with its age, and the latest announcement holds.
 """
