router, platform: the log names the software version of servers and the stream that is taken up

The hypotheses on joined streams cannot be told apart without it: no log line names the version that a server's entry states, nor what a caller says of the stream that it takes up (Resumes, Last-Event-Id). No decision changes.

--- a/bronzesail/model/_types.py
+++ b/bronzesail/model/_types.py
@@ -114,10 +114,14 @@
 
 @attrs.frozen(kw_only=True)
 class BackendServer:
-    """One start of a backend server, as the directory lists it."""
+    """One start of a backend server, as the directory lists it.
+
+    `version` is that of its software; streams of two versions do not fit together.
+    """
 
     id: str
     service: str
+    version: str
     ip: str
     port: int
     zone: str
@@ -134,7 +138,11 @@
 
 @attrs.frozen(kw_only=True)
 class RequestHead:
-    """What a caller's headers say, beside what is passed on unchanged."""
+    """What a caller's headers say, beside what is passed on unchanged.
+
+    `last_event_id` is set if the caller takes up a stream that broke off. `resumes` is
+    the id of the request that brought the stream's first event, None if not stated.
+    """
 
     request_id: str
     deadline_s: float | None
@@ -143,6 +151,7 @@
     max_output_tokens: int
     prefix: tuple[tuple[str, int], ...]
     last_event_id: str | None
+    resumes: str | None
     forwarded: bytes
 
     @property
--- a/bronzesail/platform/_requests.py
+++ b/bronzesail/platform/_requests.py
@@ -51,6 +51,7 @@
         raise MalformedError("the request id is missing or too long")
     prompt, output = _read_token_counts(found.get(b"x-token-counts"))
     last_event_id = found.get(b"last-event-id")
+    resumes = found.get(b"resumes")
     return RequestHead(
         request_id=request_id,
         deadline_s=_read_deadline_s(found.get(b"x-deadline-ms")),
@@ -61,6 +62,7 @@
         last_event_id=None
         if last_event_id is None
         else last_event_id.decode("latin-1"),
+        resumes=None if resumes is None else resumes.decode("latin-1")[:MAX_ID_BYTES],
         forwarded=_copy_headers(headers, listed),
     )
 
--- a/bronzesail/platform/_servers.py
+++ b/bronzesail/platform/_servers.py
@@ -34,6 +34,7 @@
     return BackendServer(
         id=server_id,
         service=read_text(fields, "service"),
+        version=read_text(fields, "version"),
         ip=ip,
         port=port,
         zone=read_text(fields, "zone"),
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -499,6 +499,7 @@
             request=self._request_id,
             send=self._sends,
             server=server.id,
+            version=server.version,
             ending=outcome.ending.value,
             reason=outcome.reason,
             status=outcome.head.status if outcome.head else None,
@@ -789,6 +790,8 @@
             misdirected=self._misdirected_sends,
             took_s=round(now - self._request.arrived_at, 4),
             events=self._stream.events if self._stream else None,
+            resumes=self._head.resumes if self._head else None,
+            last_event_id=self._head.last_event_id if self._head else None,
         )
         self._services.note_ended(
             self, self._route, self._account, self._outcome_label, now
--- a/tests/router_fakes.py
+++ b/tests/router_fakes.py
@@ -198,6 +198,7 @@
     fields = {
         "id": server_id,
         "service": "s",
+        "version": "v1",
         "ip": "10.0.0.1",
         "port": 80,
         "zone": zone,
--- a/tests/test_router/test_watches.py
+++ b/tests/test_router/test_watches.py
@@ -19,6 +19,7 @@
         "service": "s",
         "address": "10.0.0.1:80",
         "zone": "z1",
+        "version": "v1",
         "slots": 8,
         "state": state,
     }
