--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -231,6 +231,7 @@
     def __init__(self, server_id, service, behave):
         self.id = server_id
         self.service = service
+        self.version = "v1"  # Of its software.
         self.requests = []
         self.misdirected = []
         self.arrived_at = []  # Time and id of each request, accepted or not.
@@ -261,7 +262,7 @@
             "service": self.service,
             "address": self._server.address,
             "zone": "z1",
-            "version": "v1",
+            "version": self.version,
             "slots": 8,
             "state": state,
             "coldLeftMs": 0,
@@ -408,9 +409,10 @@
         self.routers = []
         self.links = []
 
-    async def start_backend(self, server_id, service, behave):
+    async def start_backend(self, server_id, service, behave, version="v1"):
         """Start a backend server and write its entry to the store."""
         backend = BackendStandin(server_id, service, behave)
+        backend.version = version
         await backend.start()
         self.backends.append(backend)
         self.store.put("servers", server_id, backend.make_entry())
