router: a stream is continued at servers of the version that began it

What callers saw: one answer with events of two software versions, after the server that began the stream had broken off.

The exchange now keeps the version of the server that brought the first event, and the queue chooses among the servers of that version only; without one, the stream ends as broken off, and its caller may take it up.

--- a/bronzesail/router/admission_queue.py
+++ b/bronzesail/router/admission_queue.py
@@ -36,6 +36,7 @@
 
     work: Work
     engine: Engine | None
+    version: str | None
     excluded: Sequence[str]
     future: asyncio.Future[BackendServer | None]
     deadline: float
@@ -72,6 +73,7 @@
         excluded: Sequence[str],
         rank: int,
         deadline: float,
+        version: str | None = None,
     ) -> BackendServer | None:
         """Return a server with capacity, waiting for one if necessary.
 
@@ -89,13 +91,17 @@
             Priority of the request; the lowest rank is served first.
         deadline : float
             Time on the event loop's clock after which None is returned.
+        version : str, optional
+            Software version of the servers to choose from; all by default.
         """
+        loop = asyncio.get_running_loop()
+        queued = _QueuedRequest(
+            work, engine, version, excluded, loop.create_future(), deadline
+        )
         if not self._queues.get(service):
-            server = self._choose_server(service, work, engine, excluded)
+            server = self._choose_server(service, queued)
             if server is not None:
                 return server
-        loop = asyncio.get_running_loop()
-        queued = _QueuedRequest(work, engine, excluded, loop.create_future(), deadline)
         queue = self._queues.setdefault(service, [])
         heapq.heappush(queue, (rank, next(self._sequence), queued))
         timer = loop.call_later(RECHECK_S, self._recheck, service)
@@ -113,7 +119,11 @@
         return sum(not w.future.done() for _, _, w in self._queues.get(service, ()))
 
     def find_resume_time(
-        self, service: str, excluded: Sequence[str] = (), rank: int | None = None
+        self,
+        service: str,
+        excluded: Sequence[str] = (),
+        rank: int | None = None,
+        version: str | None = None,
     ) -> float | None:
         """Return when the first server accepts a request of this router again.
 
@@ -129,11 +139,13 @@
         rank : int, optional
             Priority of a new request. If all servers limit their rate, the queued
             requests that go first use up what is accepted before.
+        version : str, optional
+            Software version of the servers that count; all by default.
         """
         now = asyncio.get_running_loop().time()
         earliest = math.inf
         shares: list[float | None] = []
-        for server in self._directory.list_usable(service):
+        for server in self._directory.list_usable(service, version):
             if server.id in excluded:
                 continue
             resume_at = now + self._limits.find_wait_s(server)
@@ -167,7 +179,9 @@
             When its pause ends and queued requests are sent to it again.
         """
         for _, _, queued in self._queues.get(service, ()):
-            resume_at = self.find_resume_time(service, queued.excluded)
+            resume_at = self.find_resume_time(
+                service, queued.excluded, version=queued.version
+            )
             if queued.future.done() or resume_at is None:
                 continue
             if resume_at > queued.deadline:
@@ -193,9 +207,7 @@
             if queued.future.done():
                 heapq.heappop(queue)
                 continue
-            server = self._choose_server(
-                service, queued.work, queued.engine, queued.excluded
-            )
+            server = self._choose_server(service, queued)
             if server is None:
                 self._dispatch_at_next_permit(service)
                 return
@@ -229,20 +241,18 @@
             loop.call_later(RECHECK_S, self.dispatch, service)
 
     def _choose_server(
-        self,
-        service: str,
-        work: Work,
-        engine: Engine | None,
-        excluded: Sequence[str],
+        self, service: str, queued: _QueuedRequest
     ) -> BackendServer | None:
         """Return the best server with capacity, or None if all are full.
 
         If the server has a limit, the request uses up a permit.
         """
-        servers = self._directory.list_usable(service)
+        servers = self._directory.list_usable(service, queued.version)
         now = asyncio.get_running_loop().time()
         requests_per_slot = (
-            PLAIN_REQUESTS_PER_SLOT if engine is None else ENGINE_REQUESTS_PER_SLOT
+            PLAIN_REQUESTS_PER_SLOT
+            if queued.engine is None
+            else ENGINE_REQUESTS_PER_SLOT
         )
         available = []
         for server in servers:
@@ -258,7 +268,9 @@
                 capacity = max(1.0, capacity)
             if estimated < capacity:
                 available.append(server)
-        chosen = self._placement.choose(available, work, engine, excluded)
+        chosen = self._placement.choose(
+            available, queued.work, queued.engine, queued.excluded
+        )
         if chosen is not None:
             self._limits.take_permit(chosen)
         return chosen
--- a/bronzesail/router/directory.py
+++ b/bronzesail/router/directory.py
@@ -226,12 +226,19 @@
             and not self.withdrawals.is_leaving(server)
         )
 
-    def list_usable(self, service: str) -> list[BackendServer]:
-        """Return the servers of a service that accept new requests."""
+    def list_usable(
+        self, service: str, version: str | None = None
+    ) -> list[BackendServer]:
+        """Return the servers of a service that accept new requests.
+
+        `version` is the software version that they must have; any by default.
+        """
         return [
             server
             for server in self._servers.values()
-            if server.service == service and self.is_usable(server)
+            if server.service == service
+            and self.is_usable(server)
+            and version in (None, server.version)
         ]
 
     def list_ids(self) -> list[str]:
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -123,6 +123,8 @@
         self._reserved_tokens = 0
         self._charged_tokens = 0
         self._stream: StreamState | None = None
+        # Software version of the server that began the stream, once it has begun.
+        self._version: str | None = None
         self._tried_server_ids: list[str] = []
         self._outcome_label = "aborted"
         self._token_wait_s = 0.0
@@ -336,12 +338,13 @@
             self._tried_server_ids,
             self._priority,
             wait_until,
+            self._version,
         )
         self._place_wait_s += self._loop.time() - asked_at
         if server is not None:
             return server
         self._refuse_if_hopeless(wait_until)
-        if self._services.directory.list_usable(self._service):
+        if self._list_usable():
             raise self._make_overloaded_error()
         raise self._make_refusal_error(
             ResultCode.NO_BACKEND, retry_after_s=NO_BACKEND_RETRY_AFTER_S
@@ -353,16 +356,25 @@
         That is so if all servers have been tried, or accept no request of this router
         for longer than the request may wait.
         """
-        usable = self._services.directory.list_usable(self._service)
+        usable = self._list_usable()
         if not usable:
+            if self._version is not None:
+                raise self._make_refusal_error(
+                    ResultCode.NO_BACKEND,
+                    f"no server of version {self._version} is left",
+                )
             return
         resume_at = self._services.admission_queue.find_resume_time(
-            self._service, rank=self._priority
+            self._service, rank=self._priority, version=self._version
         )
         is_pausing = resume_at is not None and resume_at > wait_until
         if is_pausing or all(s.id in self._tried_server_ids for s in usable):
             raise self._make_overloaded_error(resume_at)
 
+    def _list_usable(self) -> list[BackendServer]:
+        """Return the servers that this request may be sent to."""
+        return self._services.directory.list_usable(self._service, self._version)
+
     def _make_overloaded_error(self, resume_at: float | None = None) -> _RefusedError:
         """Return the refusal of a request that finds no place at a server.
 
@@ -468,7 +480,7 @@
             self._head.request_id,
             self._stream,
             on_head,
-            lambda: self._services.crashing_parts.note_begun(self._shared_parts),
+            lambda: self._note_begun(server),
             self._services.answer_memory,
         )
         self._connection = connection
@@ -511,6 +523,12 @@
         )
         return outcome
 
+    def _note_begun(self, server: BackendServer) -> None:
+        """Record that a server has begun to write its answer."""
+        self._services.crashing_parts.note_begun(self._shared_parts)
+        if self._stream is not None:
+            self._version = server.version
+
     def _encode_request(self, server: BackendServer) -> bytes:
         """Return the request as it is sent to a server, with the router's headers."""
         assert self._head is not None and self._route is not None
--- a/tests/test_router/test_stream_versions.py
+++ b/tests/test_router/test_stream_versions.py
@@ -91,9 +91,9 @@
         async with Deployment(tmp_path) as deployment:
             deployment.store.put("op", "config", make_configuration())
             begun = []
-            await start_server(deployment, "old", "v1", stream_and_break(3, begun))
+            await start_server(deployment, "a-old", "v1", stream_and_break(3, begun))
             await start_routers(deployment, 1)
-            new = await start_server(deployment, "new", "v2", finish_stream)
+            new = await start_server(deployment, "b-new", "v2", finish_stream)
             await wait_for_servers(deployment, 2)
             router = deployment.routers[0]
             await begin_stream(deployment, router, begun)
@@ -107,10 +107,10 @@
         async with Deployment(tmp_path) as deployment:
             deployment.store.put("op", "config", make_configuration())
             begun = []
-            await start_server(deployment, "old", "v1", stream_and_break(3, begun))
-            await start_server(deployment, "new", "v2", finish_stream)
+            await start_server(deployment, "a-old", "v1", stream_and_break(3, begun))
+            await start_server(deployment, "b-new", "v2", finish_stream)
             await start_routers(deployment, 1)
-            twin = await start_server(deployment, "twin", "v1", finish_stream)
+            twin = await start_server(deployment, "c-twin", "v1", finish_stream)
             await wait_for_servers(deployment, 3)
             router = deployment.routers[0]
             await begin_stream(deployment, router, begun)
@@ -128,15 +128,15 @@
             deployment.store.put("op", "config", make_configuration())
             begun = []
             broken = await start_server(
-                deployment, "broken", "v1", stream_and_break(3, begun)
+                deployment, "a-old", "v1", stream_and_break(3, begun)
             )
             await start_routers(deployment)
             await begin_stream(deployment, deployment.routers[0], begun)
             news = [
-                await start_server(deployment, f"new{n}", "v2", finish_stream)
+                await start_server(deployment, f"b-new-{n}", "v2", finish_stream)
                 for n in range(3)
             ]
-            twin = await start_server(deployment, "twin", "v1", finish_stream)
+            twin = await start_server(deployment, "c-twin", "v1", finish_stream)
             remove_server(deployment, broken)
             await wait_for_servers(deployment, 4)
             router = deployment.routers[taken_up_at]
@@ -154,15 +154,15 @@
             deployment.store.put("op", "config", make_configuration())
             begun = []
             old = await start_server(
-                deployment, "old", "v1", stream_and_break(3, begun)
+                deployment, "a-old", "v1", stream_and_break(3, begun)
             )
             await start_routers(deployment)
             await begin_stream(deployment, deployment.routers[0], begun)
-            new = await start_server(deployment, "new", "v2", finish_stream)
+            new = await start_server(deployment, "b-new", "v2", finish_stream)
             remove_server(deployment, old)
             await wait_until(
                 lambda: all(
-                    r.app.directory.list_ids() == ["new"] for r in deployment.routers
+                    r.app.directory.list_ids() == ["b-new"] for r in deployment.routers
                 )
             )
             for router in deployment.routers:
@@ -178,20 +178,20 @@
             deployment.store.put("op", "config", make_configuration())
             begun = []
             broken = await start_server(
-                deployment, "broken", "v1", stream_and_break(3, begun)
+                deployment, "a-old", "v1", stream_and_break(3, begun)
             )
             await start_routers(deployment)
-            new = await start_server(deployment, "new", "v2", finish_stream)
+            new = await start_server(deployment, "b-new", "v2", finish_stream)
             await wait_for_servers(deployment, 2)
             router = deployment.routers[0]
             await begin_stream(deployment, router, begun)
             router.app.abort()
             router.task.cancel()
-            twin = await start_server(deployment, "twin", "v1", finish_stream)
+            twin = await start_server(deployment, "c-twin", "v1", finish_stream)
             remove_server(deployment, broken)
             await wait_until(
                 lambda: all(
-                    sorted(r.app.directory.list_ids()) == ["new", "twin"]
+                    sorted(r.app.directory.list_ids()) == ["b-new", "c-twin"]
                     for r in deployment.routers[1:]
                 )
             )
@@ -211,11 +211,11 @@
             deployment.store.put("op", "config", make_configuration())
             begun = []
             old = await start_server(
-                deployment, "old", "v1", stream_and_break(3, begun)
+                deployment, "a-old", "v1", stream_and_break(3, begun)
             )
             await start_routers(deployment)
             await begin_stream(deployment, deployment.routers[0], begun)
-            new = await start_server(deployment, "new", "v2", finish_stream)
+            new = await start_server(deployment, "b-new", "v2", finish_stream)
             remove_server(deployment, old)
             for router in deployment.routers:
                 router.app.abort()
@@ -235,11 +235,11 @@
             deployment.store.put("op", "config", make_configuration())
             begun = []
             old = await start_server(
-                deployment, "old", "v1", stream_and_break(3, begun)
+                deployment, "a-old", "v1", stream_and_break(3, begun)
             )
             await start_routers(deployment)
             await begin_stream(deployment, deployment.routers[0], begun)
-            twin = await start_server(deployment, "twin", "v1", finish_stream)
+            twin = await start_server(deployment, "c-twin", "v1", finish_stream)
             for router in deployment.routers:
                 router.app.abort()
                 router.task.cancel()
