router: a stream that its caller takes up goes on at the version that began it

Change: the router that relays the first event tells four routers, chosen by a hash over the whole fleet, and the store, but only while the version cannot be inferred: if a service has had one version only for longer than a stream can last, it was that one, and a row of the store says so to routers that start. A take-up that a router does not know is asked of eight routers, then of the store; it goes on at that version, or is refused at once, truly not run: BZ1501 without a server of that version, BZ1411 if nobody knows.

--- a/bronzesail/errors/_codes.py
+++ b/bronzesail/errors/_codes.py
@@ -62,6 +62,7 @@
     ANSWER_LOST = 1408
     REQUEST_IN_PROGRESS = 1409
     CANCELLED = 1410
+    STREAM_UNKNOWN = 1411
     NO_BACKEND = 1501
     OVERLOADED = 1502
     BACKEND_FAILED = 1503
@@ -170,6 +171,9 @@
         409, "The request is running.", "Resume it by its key."
     ),
     ResultCode.CANCELLED: CodeText(499, "The caller cancelled.", "Nothing."),
+    ResultCode.STREAM_UNKNOWN: CodeText(
+        503, "Nobody knows which version began the stream.", "Send it from the start."
+    ),
     ResultCode.NO_BACKEND: CodeText(
         503, "No backend server offers the service now.", "Send it again later."
     ),
--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -45,6 +45,10 @@
 from .services import Services
 from .store import StoreClient
 from .store_era import StoreEra
+from .stream_lookup import StreamLookup
+from .stream_rows import StreamRows
+from .stream_versions import StreamVersions
+from .version_claims import VersionClaims
 from .watches import (
     MAX_BACKOFF,
     RETRY_S,
@@ -191,6 +195,24 @@
             self.incarnation,
             self.limits,
             self._log_limits,
+            lambda message, address: self.stream_lookup.handle(message, address),
+        )
+        self.streams = StreamVersions(read_clock)
+        self.stream_rows = StreamRows(self.store, self.log, read_clock)
+        self.stream_lookup = StreamLookup(
+            self.streams,
+            self.stream_rows,
+            self.neighbourhood,
+            self.peers.send_stream_message,
+            self.log,
+            self.incarnation,
+        )
+        self.version_claims = VersionClaims(
+            self.store,
+            self.streams,
+            self.stream_rows,
+            self.log,
+            lambda: self.is_following_store,
         )
         self.desk = ReservationQueue(
             self.book,
@@ -220,6 +242,7 @@
             desk=self.desk,
             neighbourhood=self.neighbourhood,
             limits=self.limits,
+            stream_lookup=self.stream_lookup,
         )
         self.news = PeerSync(
             loop,
@@ -304,6 +327,8 @@
             self._configuration_watch.run(),
             self._server_watch.run(),
             self.keeper.run(),
+            self.version_claims.run(),
+            self.stream_rows.run(),
             self.peers.run(),
             self.desk.return_leftovers(),
             self._sweep(),
@@ -417,6 +442,7 @@
         set_state("servers_leaving", len(withdrawals.list_leaving()))
         set_state("servers_asked_for_pause", withdrawals.n_pauses)
         set_state("servers_limited", self.limits.count_limited())
+        set_state("streams_known", self.streams.count())
         set_state("store_era", self.era.current)
         set_state("store_restores", self.era.n_restores)
         set_state(
@@ -457,9 +483,16 @@
             self._announce_change()
         self.placement.retain_only(self.directory.list_ids())
         self.limits.retain_only(self.directory.list_ids())
+        self._note_versions()
         for service in self.directory.list_services():
             self.line.dispatch(service)
 
+    def _note_versions(self) -> None:
+        """Record the versions of the servers; tell what others can no longer infer."""
+        if self.streams.note_servers(self.directory.list_versions()):
+            self.version_claims.note_change()
+            self.stream_lookup.tell_unknown()
+
     def _log_limits(self, reports: list[LimitReport]) -> None:
         """Log the limits of servers that another router's reports have changed."""
         for report in reports:
@@ -594,6 +627,7 @@
             self.pool.sweep()
             for server_id in self.directory.expire():
                 self.log.write("directory: expired server removed", server=server_id)
+                self._note_versions()
             await self.services.probe_unreachable()
             self.book.check_invariant()
 
--- a/bronzesail/router/directory.py
+++ b/bronzesail/router/directory.py
@@ -245,6 +245,13 @@
         """Return the ids of all servers."""
         return list(self._servers)
 
+    def list_versions(self) -> dict[str, set[str]]:
+        """Return the software versions of all servers of each service."""
+        versions: dict[str, set[str]] = {}
+        for server in self._servers.values():
+            versions.setdefault(server.service, set()).add(server.version)
+        return versions
+
     def list_services(self) -> set[str]:
         """Return the names of all services with at least one server."""
         return {server.service for server in self._servers.values()}
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -184,6 +184,7 @@
         self._route = self._find_route(configuration)
         self._account = self._find_account(configuration)
         self._choose_service(configuration)
+        await self._find_version(configuration)
         self._services.retry_budget(self._service).note_request()
         self._services.metrics.count_service_request(self._service)
         self._refuse_if_quarantined()
@@ -237,9 +238,8 @@
         weighted_services = self._route.services
         names = [name for name, _ in weighted_services]
         weights = [weight for _, weight in weighted_services]
-        self._service = self._services.random.choices(names, weights)[0]
-        service = configuration.services.get(self._service)
-        self._engine = None if service is None else service.engine
+        service = self._services.random.choices(names, weights)[0]
+        self._set_service(service, configuration)
         timeout_s = self._route.timeout_s
         if self._head.deadline_s is not None:
             timeout_s = min(timeout_s, self._head.deadline_s)
@@ -253,6 +253,29 @@
             self._request.body,
         )
 
+    def _set_service(self, name: str, configuration: Configuration) -> None:
+        """Set the service that the request is sent to."""
+        self._service = name
+        service = configuration.services.get(name)
+        self._engine = None if service is None else service.engine
+
+    async def _find_version(self, configuration: Configuration) -> None:
+        """Find out where a stream that the caller takes up may go on, or refuse it."""
+        assert self._route is not None and self._head is not None
+        if self._stream is None or self._head.last_event_id is None:
+            return
+        beginning = await self._services.stream_lookup.find(
+            self._head.resumes or "", self._service
+        )
+        if beginning is None:
+            raise self._make_refusal_error(ResultCode.STREAM_UNKNOWN)
+        if beginning.service not in [name for name, _ in self._route.services]:
+            raise self._make_refusal_error(
+                ResultCode.NO_BACKEND, "the service that began the stream is not in use"
+            )
+        self._set_service(beginning.service, configuration)
+        self._version = beginning.version
+
     async def _reserve(self) -> None:
         """Reserve the most tokens that the request can cost, if its account prepays."""
         assert self._head is not None
@@ -526,8 +549,13 @@
     def _note_begun(self, server: BackendServer) -> None:
         """Record that a server has begun to write its answer."""
         self._services.crashing_parts.note_begun(self._shared_parts)
-        if self._stream is not None:
-            self._version = server.version
+        if self._stream is None or self._version is not None:
+            return
+        self._version = server.version
+        assert self._head is not None
+        self._services.stream_lookup.note_begun(
+            self._head.request_id, self._service, server.version
+        )
 
     def _encode_request(self, server: BackendServer) -> bytes:
         """Return the request as it is sent to a server, with the router's headers."""
--- a/bronzesail/router/messages.py
+++ b/bronzesail/router/messages.py
@@ -16,6 +16,10 @@
 from .crashing_parts import PartReport
 from .poison import CrashCount  # noqa: TC001  Decoded at run time.
 from .server_limits import LimitReport  # noqa: TC001  Decoded at run time.
+from .stream_versions import (  # noqa: TC001  Decoded at run time.
+    StreamBeginning,
+    VersionView,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -26,6 +30,10 @@
     "CrashReport",
     "Hello",
     "LimitReports",
+    "StreamBeginnings",
+    "StreamMessage",
+    "StreamQuery",
+    "StreamReply",
     "TokenRequest",
     "TokenTransfer",
     "TransferConfirmation",
@@ -87,6 +95,31 @@
     reports: list[LimitReport]
 
 
+class StreamBeginnings(msgspec.Struct, tag="begun"):
+    """Streams that have begun."""
+
+    beginnings: list[StreamBeginning]
+
+
+class StreamQuery(msgspec.Struct, tag="who-began"):
+    """Question which version began a stream of a service."""
+
+    id: str
+    request_id: str
+    service: str
+
+
+class StreamReply(msgspec.Struct, tag="began"):
+    """Reply to a query: who began the stream, if known, and the service's versions."""
+
+    id: str
+    beginning: StreamBeginning | None
+    view: VersionView
+
+
+StreamMessage = StreamBeginnings | StreamQuery | StreamReply
+
+
 class CrashReport(msgspec.Struct):
     """All crashes that a router knows of, by request and by prompt part."""
 
--- a/bronzesail/router/neighbourhood.py
+++ b/bronzesail/router/neighbourhood.py
@@ -378,6 +378,24 @@
         zone_by_host[self.host] = self._zone
         return zone_by_host
 
+    def rank_fleet(self, subject: str) -> list[tuple[str, int]]:
+        """Return the addresses of the other live routers of the fleet.
+
+        The rendezvous hash for a subject gives the order, the same at each router.
+        """
+        now = self._now()
+        addresses = {
+            known.host: known.address
+            for known in self._neighbours.values()
+            if now - known.heard_at < LIVENESS_TIMEOUT_S and not known.is_leaving
+        }
+        for hosts in self.list_other_zones().values():
+            addresses.update(hosts)
+        ranked = sorted(
+            addresses, key=lambda host: _compute_rank(subject, host), reverse=True
+        )
+        return [addresses[host] for host in ranked if host != self.host]
+
     def list_hosts(self, zone: str) -> dict[str, tuple[str, int]]:
         """Return the live routers of a data centre as far as they are known here."""
         if zone != self._zone:
@@ -467,6 +485,11 @@
 
 @functools.lru_cache(maxsize=RANK_CACHE_SIZE)
 def _rank(subject: str, host: str) -> bytes:
+    """Return the rendezvous hash of a host for a subject that occurs often."""
+    return _compute_rank(subject, host)
+
+
+def _compute_rank(subject: str, host: str) -> bytes:
     """Return the rendezvous hash that ranks a host for a subject."""
     text = f"{subject}\0{host}".encode()
     return hashlib.blake2b(text, digest_size=8).digest()
--- a/bronzesail/router/peers.py
+++ b/bronzesail/router/peers.py
@@ -20,6 +20,10 @@
 from .messages import (
     Hello,
     LimitReports,
+    StreamBeginnings,
+    StreamMessage,
+    StreamQuery,
+    StreamReply,
     TokenRequest,
     TokenTransfer,
     TransferConfirmation,
@@ -88,6 +92,8 @@
         The limits of servers, which are passed on.
     on_limits : callable
         Called with the limits that another router's reports have changed.
+    on_stream_message : callable
+        Called with each message about streams and the address of its sender.
     """
 
     def __init__(
@@ -105,6 +111,7 @@
         incarnation: str,
         limits: ServerLimits,
         on_limits: Callable[[list[LimitReport]], None],
+        on_stream_message: Callable[[StreamMessage, tuple[str, int]], None],
     ) -> None:
         self._loop = loop
         self._book = book
@@ -117,6 +124,7 @@
         self._incarnation = incarnation
         self._limits = limits
         self._on_limits = on_limits
+        self._on_stream_message = on_stream_message
         self._reply_tasks: dict[str, asyncio.Task[None]] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._sequence = itertools.count(1)
@@ -125,7 +133,14 @@
         self._received_transfers: dict[str, float] = {}
         self._confirmations: dict[str, asyncio.Future[None]] = {}
         self._message_decoder = msgspec.msgpack.Decoder(
-            Hello | LimitReports | TokenRequest | TokenTransfer | TransferConfirmation
+            Hello
+            | LimitReports
+            | StreamBeginnings
+            | StreamQuery
+            | StreamReply
+            | TokenRequest
+            | TokenTransfer
+            | TransferConfirmation
         )
         self.by_host: dict[str, Peer] = {}
 
@@ -315,6 +330,12 @@
     def _make_id(self) -> str:
         return f"{self._incarnation}:{next(self._sequence)}"
 
+    def send_stream_message(
+        self, message: StreamMessage, address: tuple[str, int]
+    ) -> None:
+        """Send a message about streams to another router."""
+        self._send(msgspec.msgpack.encode(message), address)
+
     def _send(self, data: bytes, address: tuple[str, int]) -> None:
         """Send one datagram, unless the socket is closed or the datagram too large."""
         if self._transport is None or self._transport.is_closing():
@@ -334,6 +355,8 @@
             self._handle_hello(message, address)
         elif isinstance(message, LimitReports):
             self._on_limits(self._limits.merge(message.reports))
+        elif isinstance(message, StreamMessage):
+            self._on_stream_message(message, address)
         elif isinstance(message, TokenRequest):
             self._handle_request(message, address)
         elif isinstance(message, TokenTransfer):
--- a/bronzesail/router/services.py
+++ b/bronzesail/router/services.py
@@ -24,6 +24,7 @@
 from .reservation_queue import ReservationQueue
 from .retry_budget import RetryBudget
 from .server_limits import ServerLimits
+from .stream_lookup import StreamLookup
 from .watches import ConfigurationKeeper
 
 if TYPE_CHECKING:
@@ -60,6 +61,7 @@
     desk: ReservationQueue
     neighbourhood: Neighbourhood
     limits: ServerLimits
+    stream_lookup: StreamLookup
     _retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     _probed_at: dict[str, float] = attrs.field(factory=dict)
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
--- a/tests/test_router/test_stream_versions.py
+++ b/tests/test_router/test_stream_versions.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from bronzesail.router.stream_rows import STREAM_TABLE
 from tests.platform_standin import Deployment, make_configuration, wait_until
 
 N_ROUTERS = 3
@@ -251,3 +252,33 @@
             assert len(twin.requests) == N_ROUTERS
 
     asyncio.run(run())
+
+
+def test_the_version_of_a_stream_survives_all_routers(tmp_path):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            deployment.store.put("op", "config", make_configuration())
+            begun = []
+            old = await start_server(
+                deployment, "a-old", "v1", stream_and_break(3, begun)
+            )
+            new = await start_server(deployment, "b-new", "v2", finish_stream)
+            await start_routers(deployment)
+            await begin_stream(deployment, deployment.routers[0], begun)
+            await wait_until(
+                lambda: any(row[0] == STREAM_TABLE for row in deployment.store.rows)
+            )
+            n_before = len(new.requests)
+            twin = await start_server(deployment, "c-twin", "v1", finish_stream)
+            for router in deployment.routers:
+                router.app.abort()
+                router.task.cancel()
+            remove_server(deployment, old)
+            deployment.routers.clear()
+            await start_routers(deployment)
+            for router in deployment.routers:
+                assert await take_up(deployment, router, begun[0]) == 200
+            assert len(twin.requests) == N_ROUTERS
+            assert len(new.requests) == n_before
+
+    asyncio.run(run())
