router: a stream that is taken up waits for tokens before new requests of its account

Cause: requests that wait for tokens are served in the order of their arrival. The account has paid for the beginning of a stream that is taken up, and that is lost if it does not go on.

--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -288,7 +288,11 @@
         max_wait_s = (self._deadline_at - self._loop.time()) * MAX_WAIT_SHARE
         asked_at = self._loop.time()
         refusal = await self._services.desk.reserve(
-            account.name, tokens, max_wait_s, self._head.request_id
+            account.name,
+            tokens,
+            max_wait_s,
+            self._head.request_id,
+            is_continuation=self._head.last_event_id is not None,
         )
         self._token_wait_s = self._loop.time() - asked_at
         if refusal is not None:
--- a/bronzesail/router/reservation_queue.py
+++ b/bronzesail/router/reservation_queue.py
@@ -50,6 +50,7 @@
     tokens: int  # Fewest tokens that are of use.
     future: asyncio.Future[int]  # Tokens reserved or allocated; 0 for a refusal.
     want: int = 0  # Most tokens that a router asks for; 0 for a request.
+    is_continuation: bool = False  # Of a request that takes up a stream.
 
 
 @attrs.frozen
@@ -101,17 +102,33 @@
         self._shortages: dict[str, _ReportedShortage] = {}
 
     async def reserve(
-        self, account: str, tokens: int, max_wait_s: float, request_id: str
+        self,
+        account: str,
+        tokens: int,
+        max_wait_s: float,
+        request_id: str,
+        *,
+        is_continuation: bool = False,
     ) -> Refusal | None:
-        """Reserve tokens for a request; return a refusal if that fails in time."""
-        is_first = not self._waiters.get(account)
+        """Reserve tokens for a request; return a refusal if that fails in time.
+
+        A request with `is_continuation` takes up a stream and waits before new ones:
+        its account has paid for the beginning, which is lost otherwise.
+        """
+        waiters = self._waiters.get(account, ())
+        is_first = not any(w.is_continuation or not is_continuation for w in waiters)
         if is_first and self._book.try_reserve(account, tokens):
             self._renew_early(account)
             return None
         refusal = self._check_shortage(account, tokens, request_id)
         if refusal is not None:
             return refusal
-        if await self._wait(account, tokens, min(max_wait_s, MAX_WAIT_S)):
+        if await self._wait(
+            account,
+            tokens,
+            min(max_wait_s, MAX_WAIT_S),
+            is_continuation=is_continuation,
+        ):
             return None
         refusal = self._check_shortage(account, tokens, request_id)
         return refusal or self._refuse_unreachable(account, tokens, request_id)
@@ -134,12 +151,20 @@
         return given, None if given else self._find_refusal_code(account, least)
 
     async def _wait(
-        self, account: str, tokens: int, wait_s: float, want: int = 0
+        self,
+        account: str,
+        tokens: int,
+        wait_s: float,
+        want: int = 0,
+        *,
+        is_continuation: bool = False,
     ) -> int:
         """Wait for tokens to arrive; return how many were reserved or allocated."""
         future: asyncio.Future[int] = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(tokens, future, want)
-        self._waiters.setdefault(account, deque()).append(waiter)
+        waiter = _Waiter(tokens, future, want, is_continuation)
+        waiters = self._waiters.setdefault(account, deque())
+        n_ahead = sum(other.is_continuation for other in waiters)
+        waiters.insert(n_ahead if is_continuation else len(waiters), waiter)
         self._start_obtaining(account)
         try:
             async with asyncio.timeout(wait_s):
--- a/tests/test_router/test_reservation_queue.py
+++ b/tests/test_router/test_reservation_queue.py
@@ -52,8 +52,8 @@
         self.book.receive("a", tokens)
         self.queue.serve_waiters()
 
-    async def reserve(self, tokens, max_wait_s=5.0):
-        return await self.queue.reserve("a", tokens, max_wait_s, "r1")
+    async def reserve(self, tokens, max_wait_s=5.0, **options):
+        return await self.queue.reserve("a", tokens, max_wait_s, "r1", **options)
 
 
 def test_tokens_that_arrive_while_a_request_waits_are_reserved():
@@ -68,6 +68,29 @@
     asyncio.run(run())
 
 
+# After all routers were killed, streams that were taken up found no tokens, since new
+# requests of their account had come first.
+def test_streams_that_are_taken_up_wait_before_new_requests():
+    async def run():
+        fixture = QueueFixture()
+        new = [asyncio.create_task(fixture.reserve(100)) for _ in range(2)]
+        await asyncio.sleep(0)
+        continued = [
+            asyncio.create_task(fixture.reserve(tokens, is_continuation=True))
+            for tokens in (101, 102)
+        ]
+        await asyncio.sleep(0)
+        fixture.give(101)
+        assert await continued[0] is None
+        fixture.give(102)
+        assert await continued[1] is None
+        assert not any(task.done() for task in new)
+        fixture.give(200)
+        assert await asyncio.gather(*new) == [None, None]
+
+    asyncio.run(run())
+
+
 def test_tokens_that_arrive_together_with_the_timeout_are_reserved():
     async def run():
         fixture = QueueFixture()
