--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -335,7 +335,11 @@
             self._watch_settings(),
             self._log_holdings_regularly(),
         ):
-            self._tasks.append(loop.create_task(coroutine))
+            task = loop.create_task(
+                coroutine, name=getattr(coroutine, "__qualname__", None)
+            )
+            task.add_done_callback(self._note_task_ended)
+            self._tasks.append(task)
         self.log.write(
             "router: started",
             incarnation=self.incarnation,
@@ -345,6 +349,15 @@
             seeds=[ip for ip, _ in settings.seeds],
         )
 
+    def _note_task_ended(self, task: asyncio.Task[None]) -> None:
+        """Log a background task that ended by itself, which none should."""
+        if not task.cancelled():
+            self.log.write(
+                "router: background task ended",
+                task=task.get_name(),
+                error=repr(task.exception()),
+            )
+
     async def _start_metrics(self) -> None:
         """Serve metrics on the shared port, unless another process listens there."""
         address = (self.settings.ip, SHARED_METRICS_PORT)
