--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -251,6 +251,12 @@
         await self._server.close()
         await self._server.start(ip, int(port))
 
+    @property
+    def address(self):
+        """IP address and port."""
+        ip, _, port = self._server.address.rpartition(":")
+        return ip, int(port)
+
     @property
     def arrivals(self):
         """Ids of all requests that arrived, accepted or misdirected."""
