router: requests whose servers are out of reach are forwarded to another router

Change: silence of all servers of a service while a request waits leads to probes; a service that no server of is reached is told to the others, and its requests go to the callers' address of a router that reaches it, which authenticates, reserves, sends and charges. It is not forwarded twice, and the number of earlier sends goes with it. Repeatable requests that hang are taken back.

--- a/bronzesail/model/_types.py
+++ b/bronzesail/model/_types.py
@@ -142,6 +142,8 @@
 
     `last_event_id` is set if the caller takes up a stream that broke off. `resumes` is
     the id of the request that brought the stream's first event, None if not stated.
+    `earlier_sends` is how often another router, which forwards the request, has sent it
+    to servers; None if it comes from a caller.
     """
 
     request_id: str
@@ -152,6 +154,7 @@
     prefix: tuple[tuple[str, int], ...]
     last_event_id: str | None
     resumes: str | None
+    earlier_sends: int | None
     forwarded: bytes
 
     @property
--- a/bronzesail/platform/__init__.py
+++ b/bronzesail/platform/__init__.py
@@ -4,7 +4,11 @@
 
 from ._answers import AnswerHeadReader, encode_refusal_head
 from ._configuration import decode_configuration
-from ._requests import encode_forwarded_head, read_request_head
+from ._requests import (
+    encode_forwarded_head,
+    encode_peer_request_head,
+    read_request_head,
+)
 from ._servers import decode_server
 from ._settings import SETTINGS_PATH_VARIABLE, decode_settings
 from ._store import CONFIGURATION_ROW, SERVER_TABLE, StoreWire
@@ -19,6 +23,7 @@
     "decode_server",
     "decode_settings",
     "encode_forwarded_head",
+    "encode_peer_request_head",
     "encode_refusal_head",
     "read_request_head",
 ]
--- a/bronzesail/platform/_requests.py
+++ b/bronzesail/platform/_requests.py
@@ -11,7 +11,11 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-__all__ = ["encode_forwarded_head", "read_request_head"]
+__all__ = [
+    "encode_forwarded_head",
+    "encode_peer_request_head",
+    "read_request_head",
+]
 
 # Hop-by-hop headers and body framing, which apply to one connection only.
 CONNECTION_HEADERS = {
@@ -23,8 +27,11 @@
 ROUTER_HEADERS = {
     b"authorization", b"x-tenant", b"x-expect-instance", b"x-deadline-ms",
     b"x-request-priority", b"x-expect-version", b"x-pin-ms", b"x-kv-retention",
-    b"x-kv-replica", b"kv-from", b"kv-fetch", b"last-event-id",
+    b"x-kv-replica", b"kv-from", b"kv-fetch", b"last-event-id", b"x-router-sends",
 }  # fmt: skip
+# Headers that a router replaces when it forwards a request to another router.
+REPLACED_HEADERS = {b"x-deadline-ms", b"x-router-sends"}
+MAX_SENDS = 99  # Of one request, to servers.
 MAX_ID_BYTES = 200  # The limit of a key in the store.
 
 
@@ -63,7 +70,8 @@
         if last_event_id is None
         else last_event_id.decode("latin-1"),
         resumes=None if resumes is None else resumes.decode("latin-1")[:MAX_ID_BYTES],
-        forwarded=_copy_headers(headers, listed),
+        earlier_sends=_read_sends(found.get(b"x-router-sends")),
+        forwarded=_copy_headers(headers, listed, ROUTER_HEADERS),
     )
 
 
@@ -99,15 +107,60 @@
     return b"".join(lines)
 
 
-def _copy_headers(headers: Sequence[tuple[bytes, bytes]], listed: set[bytes]) -> bytes:
-    """Return the lines of end-to-end headers that callers may set.
+def encode_peer_request_head(
+    method: bytes,
+    target: bytes,
+    headers: Sequence[tuple[bytes, bytes]],
+    *,
+    body_bytes: int | None,
+    remaining_s: float,
+    sends: int,
+    last_event_id: str | None,
+    resumes: str | None,
+) -> bytes:
+    """Return the head of a request that is forwarded to another router.
+
+    It has the caller's own headers, the key included. `sends` is how often the request
+    was sent to a server; with `last_event_id` and `resumes` it goes on with a stream.
+    """
+    listed: set[bytes] = set()
+    for name, value in headers:
+        if name.lower() == b"connection":
+            listed.update(part.strip().lower() for part in value.split(b","))
+    replaced = set(REPLACED_HEADERS)
+    lines = [method, b" ", target, b" HTTP/1.1\r\n"]
+    if last_event_id is not None:
+        replaced |= {b"last-event-id", b"resumes"}
+        lines.append(b"Last-Event-Id: %b\r\n" % last_event_id.encode("latin-1"))
+        if resumes is not None:
+            lines.append(b"Resumes: %b\r\n" % resumes.encode("latin-1"))
+    lines.append(_copy_headers(headers, listed, replaced))
+    lines.append(b"X-Deadline-Ms: %d\r\n" % max(1, int(remaining_s * 1000)))
+    lines.append(b"X-Router-Sends: %d\r\n" % sends)
+    if body_bytes is not None:
+        lines.append(b"Content-Length: %d\r\n" % body_bytes)
+    lines.append(b"\r\n")
+    return b"".join(lines)
+
+
+def _read_sends(value: bytes | None) -> int | None:
+    """Return how often another router has sent the request, None from a caller."""
+    if value is None or not value.isdigit() or len(value) > len(str(MAX_SENDS)):
+        return None
+    return int(value)
+
+
+def _copy_headers(
+    headers: Sequence[tuple[bytes, bytes]], listed: set[bytes], replaced: set[bytes]
+) -> bytes:
+    """Return the lines of end-to-end headers that are not replaced.
 
     `listed` are the names that the Connection header declares as hop-by-hop.
     """
     lines = []
     for name, value in headers:
         lower = name.lower()
-        if lower in CONNECTION_HEADERS or lower in ROUTER_HEADERS or lower in listed:
+        if lower in CONNECTION_HEADERS or lower in replaced or lower in listed:
             continue
         lines.append(b"%b: %b\r\n" % (name, value))
     return b"".join(lines)
--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -23,6 +23,7 @@
 from .crashing_parts import CrashingParts
 from .directory import Directory
 from .exchange import Exchange
+from .forwarding import Forwarder
 from .internal_http import METRICS_PATH, start_internal_server
 from .log import Log
 from .messages import (
@@ -42,6 +43,7 @@
 from .poison import PoisonList
 from .reservation_queue import ReservationQueue
 from .server_limits import ServerLimits
+from .server_links import ServerLinks
 from .services import Services
 from .store import StoreClient
 from .store_era import StoreEra
@@ -223,6 +225,15 @@
             self._random,
         )
         self.pool = ClientPool(loop)
+        self.links = ServerLinks(
+            loop,
+            self.log,
+            self.pool,
+            self.directory,
+            self.placement,
+            self.line.dispatch,
+            self.peers.send_hello,
+        )
         self.services = Services(
             loop=loop,
             started_at=self._started_at,
@@ -243,6 +254,15 @@
             neighbourhood=self.neighbourhood,
             limits=self.limits,
             stream_lookup=self.stream_lookup,
+            links=self.links,
+            forwarder=Forwarder(
+                settings,
+                self.peers,
+                self.neighbourhood,
+                self.pool,
+                self.log,
+                self._random,
+            ),
         )
         self.news = PeerSync(
             loop,
@@ -455,6 +475,7 @@
         set_state("servers_leaving", len(withdrawals.list_leaving()))
         set_state("servers_asked_for_pause", withdrawals.n_pauses)
         set_state("servers_limited", self.limits.count_limited())
+        set_state("services_cut_off", len(self.links.list_cut_off()))
         set_state("streams_known", self.streams.count())
         set_state("store_era", self.era.current)
         set_state("store_restores", self.era.n_restores)
@@ -589,6 +610,8 @@
             store_era=self.era.current,
             leaving=select_leaving(self.directory.withdrawals.list_new_leaving()),
             directory=f"{self.incarnation}.{self.directory.generation}",
+            callers="{}:{}".format(*self.settings.caller_address),
+            cut_off=self.links.list_cut_off(),
         )
 
     def _process_hello(self, peer: Peer) -> None:
@@ -641,7 +664,7 @@
             for server_id in self.directory.expire():
                 self.log.write("directory: expired server removed", server=server_id)
                 self._note_versions()
-            await self.services.probe_unreachable()
+            self.links.check()
             self.book.check_invariant()
 
     async def _watch_settings(self) -> None:
--- a/bronzesail/router/client.py
+++ b/bronzesail/router/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 from collections import deque
 from typing import TYPE_CHECKING, Protocol, cast
@@ -34,6 +35,7 @@
 MAX_TRANSFER_S = 20.0  # Enough for the store's largest page, 1.4 MB, at 0.6 Mbit/s.
 MAX_CALL_BYTES = 8_388_608  # Six of the store's largest pages; its feed is not paged.
 MAX_FRAMING_BYTES = 65_536  # Eight times the usual limit of servers for a head.
+FORGET_AFTER_S = 60.0  # After which the last contact with an address is forgotten.
 # TCP_USER_TIMEOUT: a connection ends if sent data is not acknowledged for this long.
 UNACKNOWLEDGED_TIMEOUT_MS = 3000
 
@@ -65,9 +67,11 @@
         self,
         address: tuple[str, int],
         on_lost: Callable[[Connection], None] = lambda _: None,
+        on_data: Callable[[Connection], None] = lambda _: None,
     ) -> None:
         self.address = address
         self._on_lost = on_lost
+        self._on_data = on_data
         self.opened_at = 0.0
         self.transport: asyncio.Transport | None = None
         self.is_usable = True
@@ -126,6 +130,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and enforce the limit on framing."""
+        self._on_data(self)
         if self._sink is None or self._parser is None:
             # No request is in progress, so these bytes violate the protocol.
             self.close()
@@ -220,6 +225,8 @@
         self._loop = loop
         self._idle: dict[tuple[str, int], deque[Connection]] = {}
         self._open: dict[tuple[str, int], set[Connection]] = {}
+        self._heard_at: dict[tuple[str, int], float] = {}
+        self._lost_at: dict[tuple[str, int], float] = {}
         self.n_opened = 0
 
     def acquire_idle(self, address: tuple[str, int]) -> Connection | None:
@@ -247,7 +254,9 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, protocol = await self._loop.create_connection(
-                    lambda: Connection(address, self._forget), address[0], address[1]
+                    lambda: Connection(address, self._forget, self._note_data),
+                    address[0],
+                    address[1],
                 )
         except (OSError, TimeoutError) as error:
             refused = isinstance(error, ConnectionRefusedError)
@@ -255,6 +264,7 @@
                 "refused" if refused else "failed or timed out"
             ) from error
         protocol.opened_at = self._loop.time()
+        self._heard_at[address] = protocol.opened_at
         if not protocol.is_closing:
             self._open.setdefault(address, set()).add(protocol)
         return protocol
@@ -270,8 +280,21 @@
             for connection in self._open.get(address, ())
         )
 
+    def get_heard_at(self, address: tuple[str, int]) -> float:
+        """Return when an address last sent data or accepted a connection."""
+        return self._heard_at.get(address, -math.inf)
+
+    def get_lost_at(self, address: tuple[str, int]) -> float:
+        """Return when a connection to an address last ended, whoever ended it."""
+        return self._lost_at.get(address, -math.inf)
+
+    def _note_data(self, connection: Connection) -> None:
+        """Record that data has arrived."""
+        self._heard_at[connection.address] = self._loop.time()
+
     def _forget(self, connection: Connection) -> None:
         """Stop tracking a connection that has ended."""
+        self._lost_at[connection.address] = self._loop.time()
         tracked = self._open.get(connection.address)
         if tracked is None:
             return
@@ -303,6 +326,9 @@
                 idle.popleft().close()
             if not idle:
                 del self._idle[address]
+        for times in (self._heard_at, self._lost_at):
+            for address in [a for a, at in times.items() if now - at > FORGET_AFTER_S]:
+                del times[address]
 
     def close(self) -> None:
         """Close every idle connection."""
--- a/bronzesail/router/directory.py
+++ b/bronzesail/router/directory.py
@@ -241,6 +241,10 @@
             and version in (None, server.version)
         ]
 
+    def list_all(self) -> list[BackendServer]:
+        """Return all servers."""
+        return list(self._servers.values())
+
     def list_ids(self) -> list[str]:
         """Return the ids of all servers."""
         return list(self._servers)
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -7,14 +7,21 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import itertools
 import math
 from typing import TYPE_CHECKING
 
 from ..errors import Refusal, ResultCode
 from ..model import RequestKind
-from ..platform import encode_forwarded_head, encode_refusal_head, read_request_head
+from ..platform import (
+    encode_forwarded_head,
+    encode_peer_request_head,
+    encode_refusal_head,
+    read_request_head,
+)
 from .client import ConnectError
+from .forwarding import MAX_FORWARDS
 from .placement import Work
 from .poison import make_fingerprint
 from .relay import Ending, Outcome, Relay, StreamState
@@ -31,6 +38,7 @@
     )
     from .caller import CallerConnection, CallerRequest
     from .client import Connection
+    from .forwarding import Target
     from .services import Services
 
 __all__ = ["Exchange"]
@@ -126,6 +134,9 @@
         # Software version of the server that began the stream, once it has begun.
         self._version: str | None = None
         self._tried_server_ids: list[str] = []
+        self._asked_hosts: list[str] = []  # Routers that it was forwarded to.
+        # Events that this router charges, once the request was forwarded.
+        self._events_before_forward: int | None = None
         self._outcome_label = "aborted"
         self._token_wait_s = 0.0
         self._place_wait_s = 0.0
@@ -172,6 +183,9 @@
     async def _serve(self) -> None:
         """Check the request, reserve its tokens and send it until it is answered."""
         self._head = self._read_head()
+        if self._head.earlier_sends:
+            self._sends = self._head.earlier_sends
+            self._may_have_run = True
         if not self._is_accepted:
             raise self._make_refusal_error(
                 ResultCode.DRAINING, retry_after_s=DRAINING_RETRY_AFTER_S
@@ -184,6 +198,8 @@
         self._route = self._find_route(configuration)
         self._account = self._find_account(configuration)
         self._choose_service(configuration)
+        if await self._forward_if_cut_off():
+            return
         await self._find_version(configuration)
         self._services.retry_budget(self._service).note_request()
         self._services.metrics.count_service_request(self._service)
@@ -302,6 +318,8 @@
     async def _try_one_server(self) -> bool:
         """Try one server; return whether the caller has received the final response."""
         self._refuse_if_quarantined()
+        if await self._forward_if_cut_off():
+            return True
         server = await self._choose_server()
         self._refuse_if_quarantined()
         self._check_still_allowed()
@@ -324,6 +342,122 @@
         outcome = await self._exchange(server, connection)
         return await self._process_outcome(server, outcome)
 
+    async def _forward_if_cut_off(self) -> bool:
+        """Let another router serve the request if no server is reached from here.
+
+        Returns whether the caller has received the final response.
+        """
+        while self._may_forward():
+            try:
+                async with asyncio.timeout_at(self._deadline_at):
+                    found = await self._services.forwarder.connect(
+                        self._service, self._asked_hosts
+                    )
+            except TimeoutError as error:
+                raise self._make_refusal_error(ResultCode.DEADLINE_PASSED) from error
+            if found is None:
+                return False
+            target, connection = found
+            self._asked_hosts.append(target.host)
+            outcome = await self._exchange_with_peer(target, connection)
+            if self._process_peer_outcome(outcome):
+                return True
+        return False
+
+    def _may_forward(self) -> bool:
+        """Whether the request may be forwarded to another router now."""
+        assert self._head is not None and self._route is not None
+        return (
+            self._head.earlier_sends is None
+            and len(self._asked_hosts) < MAX_FORWARDS
+            and (not self._may_have_run or self._may_retry())
+            and self._services.links.is_cut_off(self._service)
+        )
+
+    async def _exchange_with_peer(
+        self, target: Target, connection: Connection
+    ) -> Outcome:
+        """Forward the request to another router and relay the response."""
+        assert self._head is not None
+        relay = Relay(
+            self._loop,
+            self._caller,
+            self._head.request_id,
+            self._stream,
+            lambda _: None,
+            lambda: None,
+            self._services.answer_memory,
+        )
+        if self._events_before_forward is None:
+            self._events_before_forward = self._stream.events if self._stream else 0
+        self._connection = connection
+        self._services.metrics.count_send(self._service, "forwarded")
+        sent_at = self._loop.time()
+        connection.start(self._encode_for_peer(), relay)
+        try:
+            outcome = await self._wait_for_response(None, relay)
+        finally:
+            relay.release()
+        if outcome.ending is Ending.BROKEN:
+            self._close_connection()
+        else:
+            self._connection = None
+            self._services.pool.release(connection)
+        self._services.log.write(
+            "request: forwarded",
+            request=self._request_id,
+            peer=target.host,
+            service=self._service,
+            sends=self._sends,
+            ending=outcome.ending.value,
+            reason=outcome.reason,
+            status=outcome.head.status if outcome.head else None,
+            took_s=round(self._loop.time() - sent_at, 4),
+        )
+        return outcome
+
+    def _encode_for_peer(self) -> bytes:
+        """Return the request as it is forwarded to another router."""
+        assert self._head is not None
+        last_event_id = resumes = None
+        if self._stream is not None and self._stream.events:
+            last_event_id = self._stream.last_event_id
+            resumes = self._head.resumes or self._head.request_id
+        head = encode_peer_request_head(
+            self._request.method,
+            self._request.target,
+            self._request.headers,
+            body_bytes=len(self._request.body) if self._request.has_body else None,
+            remaining_s=max(0.001, self._deadline_at - self._loop.time()),
+            sends=self._sends,
+            last_event_id=last_event_id,
+            resumes=resumes,
+        )
+        return head + self._request.body
+
+    def _process_peer_outcome(self, outcome: Outcome) -> bool:
+        """Process the end of a forwarded request; return False to go on elsewhere."""
+        if outcome.ending is Ending.STREAMED:
+            self._caller.end_stream()
+            self._outcome_label = "forwarded"
+            return True
+        if outcome.ending is Ending.BROKEN:
+            self._may_have_run = True
+            self._sends += 1  # By the other router, as far as is known.
+            if outcome.reason == "time limit":
+                return self._end_at_deadline()
+            return self._retry_or_fail(ResultCode.BACKEND_FAILED)
+        assert outcome.head is not None
+        status = outcome.head.status
+        if status == 503 and len(self._asked_hosts) < MAX_FORWARDS:
+            return False  # Not executed there.
+        if self._stream is not None and self._stream.is_started:
+            self._caller.abort_response()
+        else:
+            self._caller.send_response(status, outcome.head.passed_on, outcome.body)
+        self._outcome_label = f"forwarded {status}"
+        return True
+
     def _refuse_if_quarantined(self) -> None:
         """Refuse a request that is known to crash servers, or has a part that does."""
         if self._services.poison.is_poison(self._fingerprint):
@@ -462,7 +596,7 @@
             raise self._make_refusal_error(ResultCode.DEADLINE_PASSED) from error
         except ConnectError as error:
             self._tried_server_ids.append(server.id)
-            self._services.note_unreachable(server, str(error))
+            self._services.links.note_unreachable(server, str(error))
             return None
 
     def _spend_retry(self) -> bool:
@@ -583,15 +717,21 @@
         )
         return head + self._request.body
 
-    async def _wait_for_response(self, server: BackendServer, relay: Relay) -> Outcome:
+    async def _wait_for_response(
+        self, server: BackendServer | None, relay: Relay
+    ) -> Outcome:
         """Return the outcome, or a broken one where a timeout passes first.
 
+        `server` is None if the request was forwarded to another router.
         A request that may still be sent to another server has a shorter timeout, until
         the head arrives.
         """
         assert self._route is not None
         timeout_at = self._deadline_at + TIMEOUT_MARGIN_S
         can_retry = self._is_repeatable() and self._attempts < self._route.max_attempts
+        give_up = functools.partial(relay.response_failed, "no server is reached")
+        if can_retry and server is not None:
+            self._services.links.add_watcher(self._service, give_up)
         try:
             if can_retry:
                 wait_s = max(
@@ -606,10 +746,12 @@
                 return await self._watch_stream(relay, can_retry)
         except TimeoutError:
             is_past_deadline = self._loop.time() >= self._deadline_at
-            if not is_past_deadline:
+            if not is_past_deadline and server is not None:
                 self._services.note_failure(server, "no response in time")
             reason = "time limit" if is_past_deadline else "no response in time"
             return Outcome(ending=Ending.BROKEN, reason=reason)
+        finally:
+            self._services.links.remove_watcher(self._service, give_up)
 
     async def _watch_stream(self, relay: Relay, can_retry: bool) -> Outcome:
         """Wait for the end of the response.
@@ -653,7 +795,9 @@
         if outcome.reason == "time limit":
             return self._end_at_deadline()
         self._services.note_failure(server, outcome.reason)
-        if self._is_crash(outcome):
+        if self._is_crash(outcome) and not self._services.links.is_cut_off(
+            self._service
+        ):
             self._services.poison.note_crash(self._fingerprint)
             if not outcome.has_begun:
                 await self._check_parts(server)
@@ -725,6 +869,8 @@
             return False
         if self._attempts >= self._route.max_attempts:
             return False
+        if self._stream is not None and self._stream.events and self._version is None:
+            return False  # Another router knows which version began the stream.
         return self._deadline_at - self._loop.time() > MIN_REMAINING_S
 
     def _note_success(self, server: BackendServer) -> None:
@@ -804,6 +950,8 @@
         """
         assert self._head is not None
         events = self._stream.events if self._stream else 0
+        if self._events_before_forward is not None:
+            events = self._events_before_forward  # The other router charges the rest.
         was_abandoned = self._attempts > 0 and self._outcome_label == "caller gone"
         if not events and self._outcome_label != "ok" and not was_abandoned:
             return 0
--- /dev/null
+++ b/bronzesail/router/forwarding.py
@@ -0,0 +1,139 @@
+"""Finds another router that serves a request whose servers are out of reach here.
+
+The request goes to the other router's address for callers, as its caller sent it. That
+router authenticates, reserves, sends and charges like for any request, and does not
+forward it again. It is told how often the request was sent to a server before.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from .client import ConnectError
+from .messages import parse_address
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Collection
+
+    from ..model import HostSettings
+    from .client import ClientPool, Connection
+    from .log import Log
+    from .neighbourhood import Neighbourhood
+    from .peers import Peers
+
+__all__ = ["MAX_FORWARDS", "Forwarder", "Target"]
+
+MAX_FORWARDS = 3  # Routers that one request is offered to.
+
+
+@attrs.frozen
+class Target:
+    """A router to forward to, and where it receives callers' requests."""
+
+    host: str
+    address: tuple[str, int]
+
+
+class Forwarder:
+    """Selects routers that reach a service, and connects to them.
+
+    Parameters
+    ----------
+    settings : HostSettings
+        This host's settings; all hosts use the same ports.
+    peers : Peers
+        The routers known by their hellos.
+    neighbourhood : Neighbourhood
+        The routers that leaders of other data centres report.
+    pool : ClientPool
+        Connections to them.
+    log : Log
+        Log for routers that cannot be reached.
+    random : random.Random
+        Spreads the requests.
+    """
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        peers: Peers,
+        neighbourhood: Neighbourhood,
+        pool: ClientPool,
+        log: Log,
+        random: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._peers = peers
+        self._neighbourhood = neighbourhood
+        self._pool = pool
+        self._log = log
+        self._random = random
+
+    async def connect(
+        self, service: str, excluded: Collection[str]
+    ) -> tuple[Target, Connection] | None:
+        """Return a router that may reach a service, with a connection to it.
+
+        Parameters
+        ----------
+        service : str
+            Service of the request.
+        excluded : collection of str
+            Hosts that the request was offered to before.
+        """
+        tried = set(excluded)
+        for _ in range(MAX_FORWARDS - len(excluded)):
+            target = self._choose(service, tried)
+            if target is None:
+                return None
+            tried.add(target.host)
+            connection = self._pool.acquire_idle(target.address)
+            if connection is not None:
+                return target, connection
+            try:
+                return target, await self._pool.open(target.address)
+            except ConnectError as error:
+                self._log.write(
+                    "peers: unreachable", peer=target.host, error=str(error)
+                )
+        return None
+
+    def _choose(self, service: str, excluded: Collection[str]) -> Target | None:
+        """Return a random router of this region, or else of another one."""
+        near, far = self._list_targets(service)
+        for targets in (near, far):
+            candidates = [target for target in targets if target.host not in excluded]
+            if candidates:
+                return self._random.choice(candidates)
+        return None
+
+    def _list_targets(self, service: str) -> tuple[list[Target], list[Target]]:
+        """Return the routers of this region and those of other regions.
+
+        Nothing is known of the links of a router that only a leader reports.
+        """
+        near: list[Target] = []
+        far: list[Target] = []
+        known_hosts = set()
+        for peer in self._peers.list_live():
+            hello = peer.hello
+            known_hosts.add(hello.host)
+            if service in hello.cut_off or not hello.callers:
+                continue
+            target = Target(hello.host, parse_address(hello.callers))
+            (near if self._is_near(hello.zone) else far).append(target)
+        caller_port = self._settings.caller_address[1]
+        for zone, hosts in self._neighbourhood.list_other_zones().items():
+            for host, (ip, _) in hosts.items():
+                if host in known_hosts:
+                    continue
+                target = Target(host, (ip, caller_port))
+                (near if self._is_near(zone) else far).append(target)
+        return near, far
+
+    def _is_near(self, zone: str) -> bool:
+        """Whether a data centre is in this host's region."""
+        return self._settings.region_by_zone.get(zone) == self._settings.region
--- a/bronzesail/router/messages.py
+++ b/bronzesail/router/messages.py
@@ -85,6 +85,8 @@
     # Start of the ending life, in milliseconds by id, of backend servers that leave;
     # those learned of last.
     leaving: dict[str, int] = {}
+    callers: str = ""  # Where the sender receives callers' requests.
+    cut_off: list[str] = []  # Services that the sender reaches no server of.
     # Digests of the live routers by data centre, sent by leaders only.
     host_lists: dict[str, int] = {}
 
--- a/bronzesail/router/services.py
+++ b/bronzesail/router/services.py
@@ -16,6 +16,7 @@
 from .clocks import read_clock
 from .crashing_parts import CrashingParts
 from .directory import Directory
+from .forwarding import Forwarder
 from .log import Log
 from .metrics import Metrics
 from .neighbourhood import Neighbourhood
@@ -24,6 +25,7 @@
 from .reservation_queue import ReservationQueue
 from .retry_budget import RetryBudget
 from .server_limits import ServerLimits
+from .server_links import ServerLinks
 from .stream_lookup import StreamLookup
 from .watches import ConfigurationKeeper
 
@@ -36,7 +38,6 @@
 __all__ = ["Services"]
 
 CRASH_CHECK_S = 0.1  # A crash ends all connections to a server within this time.
-PROBE_INTERVAL_S = 0.7  # Between attempts to connect to an unreachable server.
 
 
 @attrs.define(kw_only=True)
@@ -62,8 +63,9 @@
     neighbourhood: Neighbourhood
     limits: ServerLimits
     stream_lookup: StreamLookup
+    links: ServerLinks
+    forwarder: Forwarder
     _retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
-    _probed_at: dict[str, float] = attrs.field(factory=dict)
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
 
     def retry_budget(self, service: str) -> RetryBudget:
@@ -83,12 +85,6 @@
             return None
         return self.neighbourhood.count_hosts()
 
-    def note_unreachable(self, server: BackendServer, reason: str) -> None:
-        """Avoid a server until a connection to it succeeds."""
-        self.placement.note_failure(server.id, is_unreachable=True)
-        self.pool.drop(server.address)
-        self.log.write("server: unreachable", server=server.id, reason=reason)
-
     def note_replaced(self, server: BackendServer) -> None:
         """Stop using a server after another one has answered at its address."""
         self.pool.drop(server.address)
@@ -162,6 +158,13 @@
         await asyncio.sleep(CRASH_CHECK_S)
         if self.pool.has_connection(server.address, opened_before=crashed_at):
             return
+        if self._is_link_suspected(server, crashed_at):
+            self.log.write(
+                "server: not held responsible, as no server is reached",
+                server=server.id,
+                request=request_id,
+            )
+            return
         suspected = self.crashing_parts.note_crash(server.id, parts, crashed_at)
         if not suspected:
             return
@@ -172,8 +175,17 @@
             parts={part: self.crashing_parts.count(part) for part in suspected},
         )
 
+    def _is_link_suspected(self, server: BackendServer, at: float) -> bool:
+        """Whether this host's links, rather than a server, have caused a failure."""
+        since = at - CRASH_CHECK_S
+        return self.links.is_cut_off(server.service) or self.links.has_lost_others(
+            server, since
+        )
+
     def note_failure(self, server: BackendServer, reason: str) -> None:
         """Record a failed request, which may eject the server."""
+        if self.links.is_cut_off(server.service):
+            return
         if self.placement.note_failure(server.id):
             self.log.write("server: ejected", server=server.id, reason=reason)
 
@@ -189,29 +201,3 @@
         self.metrics.count_request(
             route.name if route else "", account.name if account else "", code, took_s
         )
-
-    async def probe_unreachable(self) -> None:
-        """Start a connection attempt to each unreachable server that is due for one."""
-        now = self.loop.time()
-        for server_id, load in list(self.placement.loads.items()):
-            if not load.is_unreachable:
-                continue
-            server = self.directory.get(server_id)
-            if (
-                server is None
-                or now - self._probed_at.get(server_id, -1e9) < PROBE_INTERVAL_S
-            ):
-                continue
-            self._probed_at[server_id] = now
-            self.loop.create_task(self._probe(server))
-
-    async def _probe(self, server: BackendServer) -> None:
-        """Connect to a server and mark it as reachable on success."""
-        try:
-            connection = await self.pool.open(server.address)
-        except OSError:
-            return  # It stays unreachable until a later attempt.
-        self.pool.release(connection)
-        self.placement.get_load(server.id).is_unreachable = False
-        self.log.write("server: reachable again", server=server.id)
-        self.admission_queue.dispatch(server.service)
--- a/tests/test_router/test_cut_from_servers.py
+++ b/tests/test_router/test_cut_from_servers.py
@@ -8,6 +8,7 @@
 
 from bronzesail.router.client import CONNECT_TIMEOUT_S, ConnectError
 from tests.platform_standin import (
+    WAIT_TIMEOUT_S,
     Deployment,
     echo_body,
     make_configuration,
@@ -131,3 +132,153 @@
             assert find_share(results, cut_indexes) >= MIN_SHARE * others
 
     asyncio.run(run())
+
+
+def cut_off(deployment, backends, manner, indexes):
+    """Cut routers off from all servers; return the cuts."""
+    cuts = [Cut(deployment.routers[i], backends, manner) for i in indexes]
+    for cut in cuts:
+        cut.begin()
+    return cuts
+
+
+async def wait_until_cut_off(deployment, indexes, path="/look/1"):
+    """Send requests to routers until they know that they reach no server."""
+    routers = [deployment.routers[index] for index in indexes]
+    while not all(len(r.app.links.list_cut_off()) == 2 for r in routers):
+        await asyncio.gather(*(deployment.send(r, path) for r in routers))
+        await asyncio.sleep(0.1)
+
+
+def count_arrivals(backends):
+    return sum(len(backend.arrivals) for backend in backends)
+
+
+def test_requests_are_refused_where_no_router_reaches_a_server(tmp_path):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            backends = await start_fleet(deployment)
+            indexes = range(N_ROUTERS)
+            cut_off(deployment, backends, "reset", indexes)
+            for path in ("/look/1", "/talk/1"):
+                await asyncio.gather(
+                    *(deployment.send(r, path) for r in deployment.routers)
+                )
+            n_before = count_arrivals(backends)
+            results = await send_for(deployment, 1.0, "/book/1")
+            assert {status for _, _, status in results} <= {429, 503}
+            assert count_arrivals(backends) == n_before
+
+    asyncio.run(run())
+
+
+def test_routers_serve_directly_once_the_cut_has_ended(tmp_path):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            backends = await start_fleet(deployment)
+            [cut] = cut_off(deployment, backends, "hang", [0])
+            async with asyncio.timeout(WAIT_TIMEOUT_S):
+                await wait_until_cut_off(deployment, [0])
+            cut.end()
+            router = deployment.routers[0]
+            await wait_until(lambda: not router.app.links.list_cut_off())
+            n_before = sum(r.app.pool.n_opened for r in deployment.routers[1:])
+            for _ in range(3):
+                assert (await deployment.send(router, "/look/1"))[0] == 200
+            n_after = sum(r.app.pool.n_opened for r in deployment.routers[1:])
+            assert n_after == n_before
+
+    asyncio.run(run())
+
+
+def test_the_tokens_of_a_forwarded_request_are_charged_once(tmp_path):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            backends = await start_fleet(deployment)
+            cut_off(deployment, backends, "reset", [0])
+            router = deployment.routers[0]
+            count = 4
+            for _ in range(count):
+                status, _, body = await deployment.send(
+                    router, "/talk/1", X_Token_Counts="100,50"
+                )
+                assert status == 200 and body.count(b"id:") == 3
+            # Three events of five tokens each; see `make_configuration`.
+            books = [r.app.book for r in deployment.routers]
+            holdings = [b.holdings["acme"] for b in books if "acme" in b.holdings]
+            assert sum(h.settled for h in holdings) == count * (100 + 3 * 5)
+            assert all(h.reserved == 0 for h in holdings)
+
+    asyncio.run(run())
+
+
+def test_a_stream_that_hangs_goes_on_through_another_router(tmp_path):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            backends = await start_fleet(deployment, stream_events(8, gap_s=0.2))
+            router = deployment.routers[0]
+            sending = asyncio.create_task(deployment.send(router, "/talk/1"))
+            await asyncio.sleep(0.7)
+            cut_off(deployment, backends, "hang", [0])
+            status, _, body = await sending
+            assert status == 200
+            expected = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(1, 9))
+            assert body == expected
+
+    asyncio.run(run())
+
+
+def test_a_request_that_may_not_be_repeated_is_forwarded_once(tmp_path):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            deployment.store.put("op", "config", make_configuration())
+            arrived = []
+
+            async def lose_all_routers(request, responder, headers):
+                arrived.append(request)
+                for other in deployment.routers[1:]:
+                    other.app.abort()
+                await asyncio.sleep(1.0)
+
+            backend = await deployment.start_backend("p", "app", lose_all_routers)
+            for number in range(N_ROUTERS):
+                await deployment.start_router(f"h{number}", bounds=BOUNDS)
+            await wait_until(
+                lambda: all(
+                    r.app.is_ready() and len(r.app.peers.list_live()) == N_ROUTERS - 1
+                    for r in deployment.routers
+                )
+            )
+            cut_off(deployment, [backend], "reset", [0])
+            status, _, _ = await deployment.send(deployment.routers[0], "/book/1")
+            assert status == 502
+            assert len(arrived) == 1
+
+    asyncio.run(run())
+
+
+# Connections to all servers were reset at once, and each counted as a crash.
+def test_a_cut_is_not_taken_for_crashes_of_servers(tmp_path):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            backends = await start_fleet(deployment, stream_events(2, gap_s=30))
+            router = deployment.routers[0]
+            parts = "aa:10,bb:10"
+            tasks = [
+                asyncio.create_task(
+                    deployment.send(
+                        router,
+                        "/chat/1",
+                        X_Prefix_Hash=parts,
+                        X_Token_Counts=f"20,{n}",
+                    )
+                )
+                for n in range(6)
+            ]
+            await wait_until(lambda: count_arrivals(backends) >= 6)
+            cut_off(deployment, backends, "reset", [0])
+            await asyncio.gather(*tasks)
+            await asyncio.sleep(0.3)
+            assert router.app.crashing_parts.count("aa") == 0
+
+    asyncio.run(run())
