--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -245,10 +245,11 @@
     async def close(self):
         await self._server.close()
 
-    async def crash(self):
-        """End all connections, and start again at the same address."""
+    async def crash(self, down_s=0.0):
+        """End all connections, and start again at the same address after a time."""
         ip, _, port = self._server.address.rpartition(":")
         await self._server.close()
+        await asyncio.sleep(down_s)
         await self._server.start(ip, int(port))
 
     @property
