router: a request counts at its server from the moment at which it is assigned

Found while brittle servers were tested: a router with room for one request at a server had two there. Cause: the queue resolves a future, and the request counts only when its task runs; whatever dispatches the queue before that finds the same room. The queue now counts it at once, and a request that is cancelled or runs out of time in the same loop iteration gives the place back or uses it.

Evidence: the new test fails before (assigned is 0 after two dispatches) and passes now.

--- a/bronzesail/router/admission_queue.py
+++ b/bronzesail/router/admission_queue.py
@@ -77,6 +77,9 @@
     ) -> BackendServer | None:
         """Return a server with capacity, waiting for one if necessary.
 
+        The request counts as assigned to the server until the caller ends that by
+        `Placement.note_assignment_ended`.
+
         Parameters
         ----------
         service : str
@@ -107,9 +110,15 @@
         timer = loop.call_later(RECHECK_S, self._recheck, service)
         try:
             async with asyncio.timeout_at(deadline):
-                return await queued.future
+                return await asyncio.shield(queued.future)
         except TimeoutError:
-            return None
+            # A server may have been assigned in the same loop iteration.
+            return queued.future.result() if queued.future.done() else None
+        except asyncio.CancelledError:
+            server = queued.future.result() if queued.future.done() else None
+            if server is not None:
+                self._placement.note_assignment_ended(server.id)
+            raise
         finally:
             timer.cancel()
             queued.future.cancel()
@@ -213,8 +222,6 @@
                 return
             heapq.heappop(queue)
             queued.future.set_result(server)
-            # The next request is served only after this one was sent and counts
-            # towards the load of its server.
             asyncio.get_running_loop().call_soon(self.dispatch, service)
             return
 
@@ -273,4 +280,5 @@
         )
         if chosen is not None:
             self._limits.take_permit(chosen)
+            self._placement.note_assigned(chosen.id)
         return chosen
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -321,10 +321,9 @@
         if await self._forward_if_cut_off():
             return True
         server = await self._choose_server()
-        self._refuse_if_quarantined()
-        self._check_still_allowed()
-        self._services.placement.note_assigned(server.id)
         try:
+            self._refuse_if_quarantined()
+            self._check_still_allowed()
             connection = await self._connect(server)
         finally:
             self._services.placement.note_assignment_ended(server.id)
--- a/tests/test_router/test_withdrawals.py
+++ b/tests/test_router/test_withdrawals.py
@@ -434,3 +434,42 @@
         assert {status for status, _, _ in answers} == {200}
 
     run_deployment(tmp_path, scenario)
+
+
+# A request was assigned while another one, assigned just before, did not count yet.
+def test_an_assigned_request_counts_before_it_is_sent():
+    async def run():
+        loop = asyncio.get_running_loop()
+        directory = Directory(loop.time)
+        directory.put(make_server("a", slots=1))
+        placement = Placement(loop.time, "z1", {"z1": "r1"})
+        limits = ServerLimits(loop.time, "h1", lambda *_: ["h1"])
+        queue = AdmissionQueue(directory, placement, limits)
+        for number in range(4):
+            placement.note_sent("a", Work(), number)
+        searches = [
+            asyncio.create_task(
+                queue.find_server("s", Work(), None, [], 1, loop.time() + 0.2)
+            )
+            for _ in range(3)
+        ]
+        await wait_until(lambda: queue.count_waiting("s") == 3)
+        placement.note_request_ended("a", 0)
+        for _ in range(3):
+            queue.dispatch("s")
+        found = [server for server in await asyncio.gather(*searches) if server]
+        assert len(found) == 1
+        assert placement.get_load("a").assigned == 1
+        placement.note_assignment_ended("a")
+        searches = [
+            asyncio.create_task(
+                queue.find_server("s", Work(), None, [], 1, loop.time() + 10)
+            )
+            for _ in range(2)
+        ]
+        await asyncio.sleep(0)
+        searches[0].cancel()
+        await asyncio.gather(*searches, return_exceptions=True)
+        assert placement.get_load("a").assigned == 1
+
+    asyncio.run(run())
