router: a request is taken back only if another router reaches its service

Found by a new test: where no router reaches a service for a moment, repeatable requests that waited for an answer were taken back, forwarded in vain and refused (502), though the servers answered later. A router now waits 0.3 s, in which the hellos of the others tell what they reach, and takes nothing back if there is no router to forward to. The test fails before and passes now.

--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -728,7 +728,7 @@
         assert self._route is not None
         timeout_at = self._deadline_at + TIMEOUT_MARGIN_S
         can_retry = self._is_repeatable() and self._attempts < self._route.max_attempts
-        give_up = functools.partial(relay.response_failed, "no server is reached")
+        give_up = functools.partial(self._take_back, relay)
         if can_retry and server is not None:
             self._services.links.add_watcher(self._service, give_up)
         try:
@@ -752,6 +752,11 @@
         finally:
             self._services.links.remove_watcher(self._service, give_up)
 
+    def _take_back(self, relay: Relay) -> None:
+        """End the wait for a server out of reach, if another router may reach one."""
+        if self._services.forwarder.has_target(self._service):
+            relay.response_failed("no server is reached")
+
     async def _watch_stream(self, relay: Relay, can_retry: bool) -> Outcome:
         """Wait for the end of the response.
 
--- a/bronzesail/router/forwarding.py
+++ b/bronzesail/router/forwarding.py
@@ -72,6 +72,10 @@
         self._log = log
         self._random = random
 
+    def has_target(self, service: str) -> bool:
+        """Whether any other router may reach a service."""
+        return any(self._list_targets(service))
+
     async def connect(
         self, service: str, excluded: Collection[str]
     ) -> tuple[Target, Connection] | None:
--- a/bronzesail/router/server_links.py
+++ b/bronzesail/router/server_links.py
@@ -30,6 +30,8 @@
 SILENCE_S = 0.5
 # A connection is established within 65 ms across regions.
 PROBE_TIMEOUT_S = 0.5
+# By then the hellos of other routers tell whether they reach the service.
+NOTICE_DELAY_S = 0.3
 MAX_PROBED = 8  # Servers that stand for all, if none of them can be reached.
 
 
@@ -141,11 +143,17 @@
         self._cut_off = cut_off
         self._on_change()
         for service in lost:
-            for watcher in list(self._watchers.get(service, ())):
-                watcher()
+            self._loop.call_later(NOTICE_DELAY_S, self._notify_watchers, service)
         if lost:
             self._request_check([s for s in services if s not in cut_off])
 
+    def _notify_watchers(self, service: str) -> None:
+        """Call the watchers of a service, if it is still out of reach."""
+        if not self.is_cut_off(service):
+            return
+        for watcher in list(self._watchers.get(service, ())):
+            watcher()
+
     def _is_unreachable(self, server: BackendServer) -> bool:
         """Whether a connection has failed and the server was not heard since."""
         load = self._placement.loads.get(server.id)
--- a/tests/test_router/test_cut_from_servers.py
+++ b/tests/test_router/test_cut_from_servers.py
@@ -282,3 +282,48 @@
             assert router.app.crashing_parts.count("aa") == 0
 
     asyncio.run(run())
+
+
+# A repeatable request was taken back from servers that no router reached, and refused.
+def test_a_request_waits_for_a_server_that_is_silent_for_all_routers(tmp_path):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            deployment.store.put("op", "config", make_configuration())
+
+            async def behave(request, responder, headers):
+                await asyncio.sleep(2.0)
+                await echo_body(request, responder, headers)
+
+            backend = await deployment.start_backend("p", "app", behave)
+            for number in range(2):
+                await deployment.start_router(f"h{number}", bounds=BOUNDS)
+            routers = deployment.routers
+            await wait_until(
+                lambda: all(
+                    r.app.is_ready() and len(r.app.peers.list_live()) == 1
+                    for r in routers
+                )
+            )
+            configuration = make_configuration(version=2)
+            for route in configuration["routes"]:
+                route["goalMs"] = 4000
+            deployment.store.put("op", "config", configuration)
+            await wait_until(
+                lambda: all(r.app.configuration.version == 2 for r in routers)
+            )
+            sending = [
+                asyncio.create_task(deployment.send(r, "/look/1")) for r in routers
+            ]
+            await wait_until(lambda: len(backend.arrivals) == 2)
+            for router in routers:
+                cut = Cut(router, [backend], "refused")
+                cut.begin()
+            await wait_until(
+                lambda: all(r.app.links.list_cut_off() == ["app"] for r in routers)
+            )
+            assert [status for status, _, _ in await asyncio.gather(*sending)] == [
+                200,
+                200,
+            ]
+
+    asyncio.run(run())
