router: connections that are lost together count as no crash of a request

Cause: a reset of all connections counted as one crash of each request that they carried, and two make a request quarantined, at all routers. The check that prompt parts have now holds for requests too.

--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -799,9 +799,7 @@
         if outcome.reason == "time limit":
             return self._end_at_deadline()
         self._services.note_failure(server, outcome.reason)
-        if self._is_crash(outcome) and not self._services.links.is_cut_off(
-            self._service
-        ):
+        if self._is_crash(server, outcome):
             self._services.poison.note_crash(self._fingerprint)
             if not outcome.has_begun:
                 await self._check_parts(server)
@@ -901,10 +899,14 @@
                 server.id, server.slots, server.slots
             )
 
-    @staticmethod
-    def _is_crash(outcome: Outcome) -> bool:
-        """Whether the connection ended, as it does when the server crashes."""
-        return outcome.reason.startswith("connection")
+    def _is_crash(self, server: BackendServer, outcome: Outcome) -> bool:
+        """Whether the connection ended, as it does when the server crashes.
+
+        It does so as well when this host loses its links to all servers.
+        """
+        if not outcome.reason.startswith("connection"):
+            return False
+        return not self._services.is_link_suspected(server, self._loop.time())
 
     def _make_refusal_error(
         self, code: ResultCode, detail: str = "", retry_after_s: float = 0.0
--- a/bronzesail/router/services.py
+++ b/bronzesail/router/services.py
@@ -191,7 +191,7 @@
         await asyncio.sleep(CRASH_CHECK_S)
         if self.pool.has_connection(server.address, opened_before=crashed_at):
             return
-        if self._is_link_suspected(server, crashed_at):
+        if self.is_link_suspected(server, crashed_at):
             self.log.write(
                 "server: not held responsible, as no server is reached",
                 server=server.id,
@@ -208,8 +208,8 @@
             parts={part: self.crashing_parts.count(part) for part in suspected},
         )
 
-    def _is_link_suspected(self, server: BackendServer, at: float) -> bool:
-        """Whether this host's links, rather than a server, have caused a failure."""
+    def is_link_suspected(self, server: BackendServer, at: float) -> bool:
+        """Whether this host's links, and not a server, ended a connection at a time."""
         since = at - CRASH_CHECK_S
         return self.links.is_cut_off(server.service) or self.links.has_lost_others(
             server, since
--- a/tests/test_router/test_cut_from_servers.py
+++ b/tests/test_router/test_cut_from_servers.py
@@ -280,6 +280,7 @@
             await asyncio.gather(*tasks)
             await asyncio.sleep(0.3)
             assert router.app.crashing_parts.count("aa") == 0
+            assert router.app.poison.export() == []
 
     asyncio.run(run())
 
