router: a crash counts only if this host reaches another server

Cause: a crash was decided at once and by connections that were lost at the same moment; resets of far servers arrive later, and a router with little traffic has no other connections to compare with. And a stream that goes on at one version was not forwarded while servers of the other version were untried.

Change: crashes of requests are decided after 0.1 s like those of prompt parts, and count only if another server of the service was heard since or accepts a connection. A request is forwarded if no server of its version is reached.

--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -370,7 +370,7 @@
             self._head.earlier_sends is None
             and len(self._asked_hosts) < MAX_FORWARDS
             and (not self._may_have_run or self._may_retry())
-            and self._services.links.is_cut_off(self._service)
+            and self._services.links.is_cut_off(self._service, self._version)
         )
 
     async def _exchange_with_peer(
@@ -799,18 +799,20 @@
         if outcome.reason == "time limit":
             return self._end_at_deadline()
         self._services.note_failure(server, outcome.reason)
-        if self._is_crash(server, outcome):
-            self._services.poison.note_crash(self._fingerprint)
-            if not outcome.has_begun:
-                await self._check_parts(server)
+        if self._is_crash(outcome):
+            await self._check_crash(server, outcome)
         return self._retry_or_fail(ResultCode.BACKEND_FAILED)
 
-    async def _check_parts(self, server: BackendServer) -> None:
-        """Suspect the prompt's parts of a server's crash, before any retry."""
+    async def _check_crash(self, server: BackendServer, outcome: Outcome) -> None:
+        """Hold the request responsible for a server's crash, before most retries.
+
+        The parts of its prompt are suspected if the server had not begun to answer.
+        """
+        parts = [] if outcome.has_begun else self._shared_parts
         checking = self._services.note_crash(
-            server, self._request_id, self._shared_parts
+            server, self._request_id, self._fingerprint, parts
         )
-        if self._may_retry():
+        if self._may_retry() and not outcome.has_begun:
             await asyncio.shield(checking)
 
     def _process_response(self, server: BackendServer, outcome: Outcome) -> bool:
@@ -899,14 +901,10 @@
                 server.id, server.slots, server.slots
             )
 
-    def _is_crash(self, server: BackendServer, outcome: Outcome) -> bool:
-        """Whether the connection ended, as it does when the server crashes.
-
-        It does so as well when this host loses its links to all servers.
-        """
-        if not outcome.reason.startswith("connection"):
-            return False
-        return not self._services.is_link_suspected(server, self._loop.time())
+    @staticmethod
+    def _is_crash(outcome: Outcome) -> bool:
+        """Whether the connection ended, as it does when the server crashes."""
+        return outcome.reason.startswith("connection")
 
     def _make_refusal_error(
         self, code: ResultCode, detail: str = "", retry_after_s: float = 0.0
--- a/bronzesail/router/server_links.py
+++ b/bronzesail/router/server_links.py
@@ -32,6 +32,7 @@
 PROBE_TIMEOUT_S = 0.5
 # By then the hellos of other routers tell whether they reach the service.
 NOTICE_DELAY_S = 0.3
+MAX_WITNESSES = 3  # Servers that show whether the links are good.
 MAX_PROBED = 8  # Servers that stand for all, if none of them can be reached.
 
 
@@ -92,22 +93,37 @@
         """Return the services out of reach, as of the last check."""
         return self._cut_off
 
-    def is_cut_off(self, service: str) -> bool:
-        """Whether none of the usable servers of a service can be reached from here."""
-        servers = self._directory.list_usable(service)
+    def is_cut_off(self, service: str, version: str | None = None) -> bool:
+        """Whether none of the usable servers of a service can be reached from here.
+
+        `version` is the software version of the servers that count; all by default.
+        """
+        servers = self._directory.list_usable(service, version)
         return bool(servers) and all(self._is_unreachable(s) for s in servers)
 
     def has_lost_others(self, server: BackendServer, since: float) -> bool:
-        """Whether the connections to all servers, this one included, were lost at once.
+        """Whether the connections to all other servers of a service were lost, too.
 
         Then the links are the cause and not the server.
         """
-        others = [s for s in self._directory.list_all() if s.id != server.id]
+        others = [s for s in self._list_servers(server.service) if s.id != server.id]
         n_lost = sum(self._pool.get_lost_at(s.address) >= since for s in others)
         return n_lost > 0 and not any(
             self._pool.has_connection(s.address, opened_before=since) for s in others
         )
 
+    async def reaches_others(self, server: BackendServer, since: float) -> bool:
+        """Whether another server of a service was heard, or can be connected to.
+
+        This is so as well if the service has no other server.
+        """
+        others = [s for s in self._list_servers(server.service) if s.id != server.id]
+        if not others or any(self._is_heard(other, since) for other in others):
+            return True
+        probed = _select(others, MAX_WITNESSES)
+        await asyncio.gather(*(self._probe(other) for other in probed))
+        return any(self._is_heard(other, since) for other in others)
+
     def check(self) -> None:
         """Start the probes that are due, and record what is out of reach."""
         now = self._loop.time()
--- a/bronzesail/router/services.py
+++ b/bronzesail/router/services.py
@@ -146,7 +146,8 @@
 
     def _note_brittle(self, server: BackendServer, head: AnswerHead) -> None:
         """Record whether an answer says that the servers of a service are brittle."""
-        if head.max_rejected_per_s is None and (head.is_not_run or not head.is_sealed):
+        is_executed = head.is_sealed and not head.is_not_run
+        if head.max_rejected_per_s is None and not is_executed:
             return
         if self.brittle.note_answer(server.service, head.max_rejected_per_s):
             self.log.write(
@@ -171,33 +172,45 @@
         )
 
     def note_crash(
-        self, server: BackendServer, request_id: str | None, parts: Sequence[str]
+        self,
+        server: BackendServer,
+        request_id: str | None,
+        fingerprint: str,
+        parts: Sequence[str],
     ) -> asyncio.Task[None]:
-        """Suspect the prompt parts of a request that a server's crash has ended.
+        """Hold a request responsible for a crash that has ended its connection.
 
-        The task that is returned decides that after `CRASH_CHECK_S`: if another
-        connection to the server has stayed open, the server has ended this one only.
+        The task that is returned decides that after `CRASH_CHECK_S`: this host may have
+        lost its links to all servers instead. The prompt parts are suspected unless
+        another connection to the server has stayed open.
         """
-        task = self.loop.create_task(self._suspect_parts(server, request_id, parts))
+        task = self.loop.create_task(
+            self._check_crash(server, request_id, fingerprint, parts)
+        )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return task
 
-    async def _suspect_parts(
-        self, server: BackendServer, request_id: str | None, parts: Sequence[str]
+    async def _check_crash(
+        self,
+        server: BackendServer,
+        request_id: str | None,
+        fingerprint: str,
+        parts: Sequence[str],
     ) -> None:
-        """Record a crash under the prompt parts of a request, unless there was none."""
+        """Record a crash under a request and the parts of its prompt."""
         crashed_at = self.loop.time()
         await asyncio.sleep(CRASH_CHECK_S)
-        if self.pool.has_connection(server.address, opened_before=crashed_at):
-            return
-        if self.is_link_suspected(server, crashed_at):
+        if await self._is_link_lost(server, crashed_at):
             self.log.write(
                 "server: not held responsible, as no server is reached",
                 server=server.id,
                 request=request_id,
             )
             return
+        self.poison.note_crash(fingerprint)
+        if self.pool.has_connection(server.address, opened_before=crashed_at):
+            return  # The server has ended this connection only.
         suspected = self.crashing_parts.note_crash(server.id, parts, crashed_at)
         if not suspected:
             return
@@ -208,12 +221,13 @@
             parts={part: self.crashing_parts.count(part) for part in suspected},
         )
 
-    def is_link_suspected(self, server: BackendServer, at: float) -> bool:
+    async def _is_link_lost(self, server: BackendServer, at: float) -> bool:
         """Whether this host's links, and not a server, ended a connection at a time."""
-        since = at - CRASH_CHECK_S
-        return self.links.is_cut_off(server.service) or self.links.has_lost_others(
-            server, since
-        )
+        if self.links.is_cut_off(server.service):
+            return True
+        if self.links.has_lost_others(server, at - CRASH_CHECK_S):
+            return True
+        return not await self.links.reaches_others(server, at)
 
     def note_failure(self, server: BackendServer, reason: str) -> None:
         """Record a failed request, which may eject the server."""
