router: the states that a hello names are bounded; mutants of the new guards

A hello has to fit into one packet. With all of its lists full, the new ones would have made it larger; crashes, free tokens and leaving servers get less room, as a digest covers what is left out.

--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -32,7 +32,9 @@
     Hello,
     ServerFull,
     parse_address,
+    select_brittle,
     select_crashes,
+    select_cut_off,
     select_free,
     select_leaving,
     select_part_report,
@@ -633,8 +635,8 @@
             leaving=select_leaving(self.directory.withdrawals.list_new_leaving()),
             directory=f"{self.incarnation}.{self.directory.generation}",
             callers="{}:{}".format(*self.settings.caller_address),
-            cut_off=self.links.list_cut_off(),
-            brittle=self.brittle.list_reports(),
+            cut_off=select_cut_off(self.links.list_cut_off()),
+            brittle=select_brittle(self.brittle.list_reports()),
         )
 
     def _process_hello(self, peer: Peer) -> None:
--- a/bronzesail/router/messages.py
+++ b/bronzesail/router/messages.py
@@ -41,7 +41,9 @@
     "TransferConfirmation",
     "compute_hosts_digest",
     "parse_address",
+    "select_brittle",
     "select_crashes",
+    "select_cut_off",
     "select_free",
     "select_leaving",
     "select_limits",
@@ -50,9 +52,11 @@
 
 PACKET_BYTES = 1472  # Payload of a UDP datagram on Ethernet, unfragmented.
 # Shares of a packet for the lists of a hello; its other fields take up to 400 bytes.
-MAX_CRASH_BYTES = 300
-MAX_FREE_BYTES = 300
-MAX_LEAVING_BYTES = 200
+MAX_CRASH_BYTES = 220
+MAX_FREE_BYTES = 250
+MAX_LEAVING_BYTES = 150
+MAX_CUT_OFF_BYTES = 70
+MAX_BRITTLE_BYTES = 70
 MAX_PART_CRASH_BYTES = 180
 MAX_BEGUN_BYTES = 70
 MAX_HELLO_CRASHES = 10
@@ -231,6 +235,18 @@
     )
 
 
+def select_cut_off(services: Iterable[str]) -> list[str]:
+    """Return the first services, as many as a hello has room for."""
+    return _take_within(services, MAX_CUT_OFF_BYTES, lambda name: len(name) + 2)
+
+
+def select_brittle(reports: Iterable[BrittleReport]) -> list[BrittleReport]:
+    """Return the first brittle services, as many as a hello has room for."""
+    return _take_within(
+        reports, MAX_BRITTLE_BYTES, lambda report: len(report.service) + 21
+    )
+
+
 def select_limits(reports: Iterable[LimitReport]) -> list[LimitReport]:
     """Return the first reports of limits, as many as one packet has room for."""
     return _take_within(
--- a/tests/test_router/test_large_fleet.py
+++ b/tests/test_router/test_large_fleet.py
@@ -157,6 +157,33 @@
     assert max(sizes) <= PACKET_BYTES
 
 
+def test_a_hello_with_all_that_it_may_hold_fits_into_a_packet(tmp_path):
+    sizes = []
+
+    async def scenario(deployment):
+        (router,), _ = await start_routers(deployment, 1)
+        app = router.app
+        await wait_until(lambda: app.neighbourhood.is_large)
+        now = asyncio.get_running_loop().time()
+        for number in range(40):
+            app.book.receive(f"account-{number}", 1_000_000_000 + number)
+            app.poison.note_crash(make_fingerprint(b"/chat", "acme", b"%d" % number))
+            app.crashing_parts.note_crash(f"i-{number:010}", [f"{number:012x}"], now)
+            app.crashing_parts.note_begun([f"{number + 100:012x}"])
+            app.directory.merge_leaving({f"i-{number:010}": 1_790_000_000_000})
+            app.brittle.note_answer(f"service-{number}", 3.0)
+        app.links.list_cut_off = lambda: [f"service-{n}" for n in range(40)]
+        app.neighbourhood.list_other_zones = lambda: {
+            f"a-data-centre-{n}": {} for n in range(5)
+        }
+        app.peers._send = lambda data, address: sizes.append(len(data))
+        app.peers.send_hello()
+
+    run_in_large_fleet(tmp_path, scenario)
+    assert sizes
+    assert max(sizes) <= PACKET_BYTES
+
+
 # More counts than a hello has room for reach the other routers by a separate read.
 def test_all_crash_counts_reach_the_other_routers(tmp_path):
     keys = [make_fingerprint(b"/chat", "acme", b"%d" % n) for n in range(500)]
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -57,12 +57,65 @@
 PART_TESTS = "tests/test_router/test_crashing_parts.py"
 HELLO_TESTS = "tests/test_router/test_large_fleet.py"
 
+VERSION_TESTS = "tests/test_router/test_stream_versions.py"
+CUT_TESTS = "tests/test_router/test_cut_from_servers.py"
+BRITTLE_TESTS = "tests/test_router/test_brittle_servers.py"
+
 SILENT_STORE_TESTS = "tests/test_router/test_silent_store.py"
 WATCH_TESTS = "tests/test_router/test_watches.py"
 LIMIT_TESTS = "tests/test_router/test_server_limits.py"
 RESTORE_TESTS = "tests/test_router/test_store_restore.py"
 
 MUTANTS = (
+    Mutant(
+        "a stream is continued at its own version",
+        "bronzesail/router/directory.py",
+        "and version in (None, server.version)",
+        "",
+        VERSION_TESTS,
+    ),
+    Mutant(
+        "a stream that nobody knows is refused",
+        "bronzesail/router/exchange.py",
+        "        if beginning is None:\n            raise",
+        "        if beginning is None:\n            return\n            raise",
+        VERSION_TESTS,
+    ),
+    Mutant(
+        "beginnings of streams outlast all routers",
+        "bronzesail/router/stream_lookup.py",
+        "        self._rows.write(beginnings)\n",
+        "",
+        VERSION_TESTS,
+    ),
+    Mutant(
+        "events of another router are charged there only",
+        "bronzesail/router/exchange.py",
+        "            events = self._events_before_forward",
+        "            pass",
+        CUT_TESTS,
+    ),
+    Mutant(
+        "a cut is not taken for crashes",
+        "bronzesail/router/services.py",
+        "        if await self._is_link_lost(server, crashed_at):",
+        "        if False:",
+        CUT_TESTS,
+    ),
+    Mutant(
+        "routers share the slots of brittle servers",
+        "bronzesail/router/brittle_servers.py",
+        "        window.size = min(window.size, share)\n",
+        "",
+        BRITTLE_TESTS,
+    ),
+    Mutant(
+        "a rejection of a brittle server is told to all",
+        "bronzesail/router/brittle_servers.py",
+        "            window.size = min(known.size, n_present)\n",
+        "            window.size = known.size\n",
+        BRITTLE_TESTS,
+    ),
     Mutant(
         "a claim of another router counts as the own one",
         "bronzesail/request/_claims.py",
