router: what was forwarded in vain is charged where it is served

Found by reading: after other routers had refused a forwarded request, and this router reached a server again, the events of its stream were not charged, since all that follows a forward counted as charged elsewhere. Spend could have gone over the budget by them. Only events that come from another router are left out now. The new test fails before (100 tokens instead of 115) and passes now.

--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -135,8 +135,7 @@
         self._version: str | None = None
         self._tried_server_ids: list[str] = []
         self._asked_hosts: list[str] = []  # Routers that it was forwarded to.
-        # Events that this router charges, once the request was forwarded.
-        self._events_before_forward: int | None = None
+        self._forwarded_events = 0  # Relayed from other routers, which charge them.
         self._outcome_label = "aborted"
         self._token_wait_s = 0.0
         self._place_wait_s = 0.0
@@ -387,8 +386,7 @@
             lambda: None,
             self._services.answer_memory,
         )
-        if self._events_before_forward is None:
-            self._events_before_forward = self._stream.events if self._stream else 0
+        events_before = self._stream.events if self._stream else 0
         self._connection = connection
         self._services.metrics.count_send(self._service, "forwarded")
         sent_at = self._loop.time()
@@ -397,6 +395,8 @@
             outcome = await self._wait_for_response(None, relay)
         finally:
             relay.release()
+            if self._stream is not None:
+                self._forwarded_events += self._stream.events - events_before
         if outcome.ending is Ending.BROKEN:
             self._close_connection()
         else:
@@ -955,8 +955,7 @@
         """
         assert self._head is not None
         events = self._stream.events if self._stream else 0
-        if self._events_before_forward is not None:
-            events = self._events_before_forward  # The other router charges the rest.
+        events -= self._forwarded_events
         was_abandoned = self._attempts > 0 and self._outcome_label == "caller gone"
         if not events and self._outcome_label != "ok" and not was_abandoned:
             return 0
--- a/tests/test_router/test_cut_from_servers.py
+++ b/tests/test_router/test_cut_from_servers.py
@@ -212,6 +212,26 @@
     asyncio.run(run())
 
 
+# Events of a stream were not charged after other routers had refused the request.
+def test_a_request_that_other_routers_refuse_is_charged_here(tmp_path):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            await start_fleet(deployment)
+            router = deployment.routers[0]
+            for other in deployment.routers[1:]:
+                other.app.is_refusing_requests = True
+            answers = [True, True]
+            router.app.links.is_cut_off = lambda *_: answers.pop() if answers else False
+            status, _, body = await deployment.send(
+                router, "/talk/1", X_Token_Counts="100,50"
+            )
+            assert not answers
+            assert status == 200 and body.count(b"id:") == 3
+            assert router.app.book.holdings["acme"].settled == 100 + 3 * 5
+
+    asyncio.run(run())
+
+
 def test_a_stream_that_hangs_goes_on_through_another_router(tmp_path):
     async def run():
         async with Deployment(tmp_path) as deployment:
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -91,8 +91,8 @@
     Mutant(
         "events of another router are charged there only",
         "bronzesail/router/exchange.py",
-        "            events = self._events_before_forward",
-        "            pass",
+        "        events -= self._forwarded_events\n",
+        "",
         CUT_TESTS,
     ),
     Mutant(
