--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -397,11 +397,7 @@
             relay.release()
             if self._stream is not None:
                 self._forwarded_events += self._stream.events - events_before
-        if outcome.ending is Ending.BROKEN:
-            self._close_connection()
-        else:
-            self._connection = None
-            self._services.pool.release(connection)
+        self._release_connection(connection, outcome)
         self._services.log.write(
             "request: forwarded",
             request=self._request_id,
@@ -661,11 +657,7 @@
                 placement.note_response_started(server.id, unread_tokens, ticket)
             placement.note_request_ended(server.id, ticket)
             self._services.admission_queue.dispatch(self._service)
-        if outcome.ending is Ending.BROKEN:
-            self._close_connection()
-        else:
-            self._connection = None
-            self._services.pool.release(connection)
+        self._release_connection(connection, outcome)
         self._services.log.write(
             "request: sent",
             request=self._request_id,
@@ -929,6 +921,14 @@
         status, lines = encode_refusal_head(request_id, refusal)
         self._caller.send_response(status, lines, refusal.label.encode("ascii"))
 
+    def _release_connection(self, connection: Connection, outcome: Outcome) -> None:
+        """Return a connection to the pool; close it if its response is broken."""
+        if outcome.ending is Ending.BROKEN:
+            self._close_connection()
+            return
+        self._connection = None
+        self._services.pool.release(connection)
+
     def _close_connection(self) -> None:
         """Close the connection to the server, which ends the work for the request."""
         connection, self._connection = self._connection, None
--- a/bronzesail/router/server_links.py
+++ b/bronzesail/router/server_links.py
@@ -32,7 +32,7 @@
 PROBE_TIMEOUT_S = 0.5
 # By then the hellos of other routers tell whether they reach the service.
 NOTICE_DELAY_S = 0.3
-MAX_WITNESSES = 3  # Servers that show whether the links are good.
+MAX_COMPARED = 3  # Other servers that tell a crash of one from lost links.
 MAX_PROBED = 8  # Servers that stand for all, if none of them can be reached.
 
 
@@ -120,7 +120,7 @@
         others = [s for s in self._list_servers(server.service) if s.id != server.id]
         if not others or any(self._is_heard(other, since) for other in others):
             return True
-        probed = _select(others, MAX_WITNESSES)
+        probed = _select(others, MAX_COMPARED)
         await asyncio.gather(*(self._probe(other) for other in probed))
         return any(self._is_heard(other, since) for other in others)
 
@@ -235,9 +235,9 @@
             return
         if all(self._is_unreachable(server) for server in probed):
             for server in servers:
-                self._note_unreachable(server, "no probed server can be reached")
+                self._mark_unreachable(server, "no probed server can be reached")
 
-    def _note_unreachable(self, server: BackendServer, reason: str) -> None:
+    def _mark_unreachable(self, server: BackendServer, reason: str) -> None:
         """Avoid a server until a connection to it succeeds."""
         if self._is_unreachable(server):
             return
@@ -250,7 +250,7 @@
 
         If no other server of its service was heard lately, they are probed.
         """
-        self._note_unreachable(server, reason)
+        self._mark_unreachable(server, reason)
         since = self._loop.time() - SILENCE_S
         servers = self._list_servers(server.service)
         if not any(self._is_heard(other, since) for other in servers):
@@ -264,7 +264,7 @@
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 connection = await self._pool.open(server.address)
         except (ConnectError, TimeoutError) as error:
-            self._note_unreachable(server, f"probe: {error or 'timed out'}")
+            self._mark_unreachable(server, f"probe: {error or 'timed out'}")
             return
         self._pool.release(connection)
         load = self._placement.get_load(server.id)
--- a/tests/test_router/test_cut_from_servers.py
+++ b/tests/test_router/test_cut_from_servers.py
@@ -70,6 +70,17 @@
         raise ConnectError("refused")
 
 
+async def wait_until_ready(deployment):
+    """Wait until all routers are ready and know each other."""
+    routers = deployment.routers
+    await wait_until(
+        lambda: all(
+            r.app.is_ready() and len(r.app.peers.list_live()) == len(routers) - 1
+            for r in routers
+        )
+    )
+
+
 async def start_fleet(deployment, behave_stream=None):
     """Start routers and servers of both services; return the servers."""
     deployment.store.put("op", "config", make_configuration())
@@ -82,13 +93,7 @@
         backends.append(await deployment.start_backend(f"m{n}", "llm", behave))
     for number in range(N_ROUTERS):
         await deployment.start_router(f"h{number}", bounds=BOUNDS)
-    routers = deployment.routers
-    await wait_until(
-        lambda: all(
-            r.app.is_ready() and len(r.app.peers.list_live()) == N_ROUTERS - 1
-            for r in routers
-        )
-    )
+    await wait_until_ready(deployment)
     return backends
 
 
@@ -263,12 +268,7 @@
             backend = await deployment.start_backend("p", "app", lose_all_routers)
             for number in range(N_ROUTERS):
                 await deployment.start_router(f"h{number}", bounds=BOUNDS)
-            await wait_until(
-                lambda: all(
-                    r.app.is_ready() and len(r.app.peers.list_live()) == N_ROUTERS - 1
-                    for r in deployment.routers
-                )
-            )
+            await wait_until_ready(deployment)
             cut_off(deployment, [backend], "reset", [0])
             status, _, _ = await deployment.send(deployment.routers[0], "/book/1")
             assert status == 502
@@ -319,12 +319,7 @@
             for number in range(2):
                 await deployment.start_router(f"h{number}", bounds=BOUNDS)
             routers = deployment.routers
-            await wait_until(
-                lambda: all(
-                    r.app.is_ready() and len(r.app.peers.list_live()) == 1
-                    for r in routers
-                )
-            )
+            await wait_until_ready(deployment)
             configuration = make_configuration(version=2)
             for route in configuration["routes"]:
                 route["goalMs"] = 4000
--- a/tests/test_router/test_stream_versions.py
+++ b/tests/test_router/test_stream_versions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -44,6 +45,19 @@
     return await deployment.start_backend(server_id, "llm", behave, version)
 
 
+@contextlib.asynccontextmanager
+async def open_deployment(tmp_path):
+    """Start a store and a server of v1 that breaks off each stream.
+
+    Yields the deployment, the server, and the ids of the requests that it has begun.
+    """
+    async with Deployment(tmp_path) as deployment:
+        deployment.store.put("op", "config", make_configuration())
+        begun = []
+        old = await start_server(deployment, "a-old", "v1", stream_and_break(3, begun))
+        yield deployment, old, begun
+
+
 async def start_routers(deployment, count=N_ROUTERS):
     for number in range(count):
         await deployment.start_router(f"h{number}", bounds=BOUNDS)
@@ -60,6 +74,14 @@
     )
 
 
+def end_all_routers(deployment):
+    """End all routers as a crash would."""
+    for router in deployment.routers:
+        router.app.abort()
+        router.task.cancel()
+    deployment.routers.clear()
+
+
 def remove_server(deployment, backend):
     deployment.store.remove("servers", backend.id)
 
@@ -89,10 +111,7 @@
 # A router continued a stream at the next server, whatever its version.
 def test_a_stream_is_not_continued_at_another_version_in_one_answer(tmp_path):
     async def run():
-        async with Deployment(tmp_path) as deployment:
-            deployment.store.put("op", "config", make_configuration())
-            begun = []
-            await start_server(deployment, "a-old", "v1", stream_and_break(3, begun))
+        async with open_deployment(tmp_path) as (deployment, _, begun):
             await start_routers(deployment, 1)
             new = await start_server(deployment, "b-new", "v2", finish_stream)
             await wait_for_servers(deployment, 2)
@@ -105,10 +124,7 @@
 
 def test_a_stream_is_continued_at_another_server_of_its_version(tmp_path):
     async def run():
-        async with Deployment(tmp_path) as deployment:
-            deployment.store.put("op", "config", make_configuration())
-            begun = []
-            await start_server(deployment, "a-old", "v1", stream_and_break(3, begun))
+        async with open_deployment(tmp_path) as (deployment, _, begun):
             await start_server(deployment, "b-new", "v2", finish_stream)
             await start_routers(deployment, 1)
             twin = await start_server(deployment, "c-twin", "v1", finish_stream)
@@ -125,12 +141,7 @@
 @pytest.mark.parametrize("taken_up_at", [0, 1, 2])
 def test_a_stream_is_taken_up_at_the_version_that_began_it(tmp_path, taken_up_at):
     async def run():
-        async with Deployment(tmp_path) as deployment:
-            deployment.store.put("op", "config", make_configuration())
-            begun = []
-            broken = await start_server(
-                deployment, "a-old", "v1", stream_and_break(3, begun)
-            )
+        async with open_deployment(tmp_path) as (deployment, broken, begun):
             await start_routers(deployment)
             await begin_stream(deployment, deployment.routers[0], begun)
             news = [
@@ -151,12 +162,7 @@
 
 def test_a_stream_whose_version_has_left_is_refused_at_once(tmp_path):
     async def run():
-        async with Deployment(tmp_path) as deployment:
-            deployment.store.put("op", "config", make_configuration())
-            begun = []
-            old = await start_server(
-                deployment, "a-old", "v1", stream_and_break(3, begun)
-            )
+        async with open_deployment(tmp_path) as (deployment, old, begun):
             await start_routers(deployment)
             await begin_stream(deployment, deployment.routers[0], begun)
             new = await start_server(deployment, "b-new", "v2", finish_stream)
@@ -175,12 +181,7 @@
 
 def test_the_version_of_a_stream_survives_the_router_that_began_it(tmp_path):
     async def run():
-        async with Deployment(tmp_path) as deployment:
-            deployment.store.put("op", "config", make_configuration())
-            begun = []
-            broken = await start_server(
-                deployment, "a-old", "v1", stream_and_break(3, begun)
-            )
+        async with open_deployment(tmp_path) as (deployment, broken, begun):
             await start_routers(deployment)
             new = await start_server(deployment, "b-new", "v2", finish_stream)
             await wait_for_servers(deployment, 2)
@@ -208,20 +209,12 @@
 # All routers were killed, and the old version left; nobody knew who began a stream.
 def test_a_stream_from_before_the_end_of_all_routers_is_not_joined(tmp_path):
     async def run():
-        async with Deployment(tmp_path) as deployment:
-            deployment.store.put("op", "config", make_configuration())
-            begun = []
-            old = await start_server(
-                deployment, "a-old", "v1", stream_and_break(3, begun)
-            )
+        async with open_deployment(tmp_path) as (deployment, old, begun):
             await start_routers(deployment)
             await begin_stream(deployment, deployment.routers[0], begun)
             new = await start_server(deployment, "b-new", "v2", finish_stream)
             remove_server(deployment, old)
-            for router in deployment.routers:
-                router.app.abort()
-                router.task.cancel()
-            deployment.routers.clear()
+            end_all_routers(deployment)
             await start_routers(deployment)
             for router in deployment.routers:
                 assert await take_up(deployment, router, begun[0]) == 503
@@ -232,20 +225,12 @@
 
 def test_a_stream_goes_on_after_the_end_of_all_routers_of_a_single_version(tmp_path):
     async def run():
-        async with Deployment(tmp_path) as deployment:
-            deployment.store.put("op", "config", make_configuration())
-            begun = []
-            old = await start_server(
-                deployment, "a-old", "v1", stream_and_break(3, begun)
-            )
+        async with open_deployment(tmp_path) as (deployment, old, begun):
             await start_routers(deployment)
             await begin_stream(deployment, deployment.routers[0], begun)
             twin = await start_server(deployment, "c-twin", "v1", finish_stream)
-            for router in deployment.routers:
-                router.app.abort()
-                router.task.cancel()
+            end_all_routers(deployment)
             remove_server(deployment, old)
-            deployment.routers.clear()
             await start_routers(deployment)
             for router in deployment.routers:
                 assert await take_up(deployment, router, begun[0]) == 200
@@ -256,12 +241,7 @@
 
 def test_the_version_of_a_stream_survives_all_routers(tmp_path):
     async def run():
-        async with Deployment(tmp_path) as deployment:
-            deployment.store.put("op", "config", make_configuration())
-            begun = []
-            old = await start_server(
-                deployment, "a-old", "v1", stream_and_break(3, begun)
-            )
+        async with open_deployment(tmp_path) as (deployment, old, begun):
             new = await start_server(deployment, "b-new", "v2", finish_stream)
             await start_routers(deployment)
             await begin_stream(deployment, deployment.routers[0], begun)
@@ -270,11 +250,8 @@
             )
             n_before = len(new.requests)
             twin = await start_server(deployment, "c-twin", "v1", finish_stream)
-            for router in deployment.routers:
-                router.app.abort()
-                router.task.cancel()
+            end_all_routers(deployment)
             remove_server(deployment, old)
-            deployment.routers.clear()
             await start_routers(deployment)
             for router in deployment.routers:
                 assert await take_up(deployment, router, begun[0]) == 200
