--- a/bronzesail/router/admission_queue.py
+++ b/bronzesail/router/admission_queue.py
@@ -250,6 +250,8 @@
 
     def _has_room(self, server: BackendServer) -> bool:
         """Whether a server that may be brittle has room for one more request."""
+        if not self._brittle.is_brittle(server.service):
+            return True
         servers = self._directory.list_usable(server.service)
         count_own = self._placement.count_own
         room = self._brittle.find_room(server, servers, count_own)
