tests: the share of the room at brittle servers that is used is measured in virtual time

The check beside the falls counted served requests over 12 s of wall-clock time. Three runs at load 25 show why: no fall, but only 548 to 783 of 1,800 requests were sent, since the test's own sender is slow. The same bound now holds for the same room in simulated fleets, in virtual time; the falls are still counted over sockets.

--- a/tests/test_router/test_brittle_servers.py
+++ b/tests/test_router/test_brittle_servers.py
@@ -110,10 +110,8 @@
                 router = routers[len(tasks) % N_ROUTERS]
                 tasks.append(loop.create_task(deployment.send(router, "/look/1")))
                 await asyncio.sleep(1 / REQUESTS_PER_S)
-            statuses = [status for status, _, _ in await asyncio.gather(*tasks)]
-            room = N_SERVERS * ROOM / WORK_S * RUN_S
+            await asyncio.gather(*tasks)
             assert sum(server.falls for server in servers) <= ALLOWED_FALLS
-            assert statuses.count(200) >= MIN_SERVED_SHARE * room
 
     asyncio.run(run())
 
@@ -224,6 +222,17 @@
         assert all(fleet.n_served.values())
 
 
+# In virtual time, since the number of requests above depends on the machine's speed.
+@pytest.mark.parametrize(
+    ("n_routers", "slots"), [(N_ROUTERS, ROOM), (8, 6), (8, 64), (79, 64)]
+)
+def test_most_of_the_room_is_used(n_routers, slots):
+    fleet = SimulatedFleet(n_routers, N_SERVERS, slots, slots, WORK_S)
+    fleet.run(RUN_S)
+    room = N_SERVERS * slots / WORK_S * RUN_S
+    assert sum(fleet.n_served.values()) >= MIN_SERVED_SHARE * room
+
+
 def test_all_slots_are_used_where_there_is_room_for_them():
     fleet = SimulatedFleet(8, 3, slots=6, room=6, work_s=0.5)
     fleet.run(5.0)
