router: a request for one version does not hold up the others in the queue

Found by reading: a stream that goes on waits for a server of its version at the head of the queue, and all requests behind it wait too, for up to a quarter of its time, though other servers have room. Requests for one version now let later ones go first.

--- a/bronzesail/router/admission_queue.py
+++ b/bronzesail/router/admission_queue.py
@@ -109,7 +109,7 @@
         queued = _QueuedRequest(
             work, engine, version, excluded, loop.create_future(), deadline
         )
-        if not self._queues.get(service):
+        if not self._has_waiting(service, version):
             server = self._choose_server(service, queued)
             if server is not None:
                 return server
@@ -131,6 +131,13 @@
             timer.cancel()
             queued.future.cancel()
 
+    def _has_waiting(self, service: str, version: str | None) -> bool:
+        """Whether queued requests go before a new one, which may name a version."""
+        return any(
+            not queued.future.done() and queued.version in (None, version)
+            for _, _, queued in self._queues.get(service, ())
+        )
+
     def count_waiting(self, service: str) -> int:
         """Return the number of queued requests of a service."""
         return sum(not w.future.done() for _, _, w in self._queues.get(service, ()))
@@ -214,24 +221,35 @@
             loop.call_later(RECHECK_S, self._dispatch_during_ramp, service, until)
 
     def dispatch(self, service: str) -> None:
-        """Assign a server to the first queued request if one has capacity.
+        """Assign a server to the first queued request that one has capacity for.
 
-        Further requests are served by later iterations of the event loop.
+        Only requests for one software version let later ones go before them. Further
+        requests are served by later iterations of the event loop.
         """
         queue = self._queues.get(service)
-        while queue:
-            _, _, queued = queue[0]
+        if not queue:
+            return
+        passed_over = []
+        is_assigned = False
+        while queue and not is_assigned:
+            entry = heapq.heappop(queue)
+            queued = entry[-1]
             if queued.future.done():
-                heapq.heappop(queue)
                 continue
             server = self._choose_server(service, queued)
-            if server is None:
-                self._dispatch_at_next_permit(service)
-                return
-            heapq.heappop(queue)
-            queued.future.set_result(server)
+            if server is not None:
+                queued.future.set_result(server)
+                is_assigned = True
+                continue
+            passed_over.append(entry)
+            if queued.version is None:
+                break
+        for entry in passed_over:
+            heapq.heappush(queue, entry)
+        if is_assigned:
             asyncio.get_running_loop().call_soon(self.dispatch, service)
-            return
+        elif passed_over:
+            self._dispatch_at_next_permit(service)
 
     def _dispatch_at_next_permit(self, service: str) -> None:
         """Dispatch again when a server with a limit accepts the next request."""
--- a/tests/test_router/test_withdrawals.py
+++ b/tests/test_router/test_withdrawals.py
@@ -477,3 +477,43 @@
         assert placement.get_load("a").assigned == 1
 
     asyncio.run(run())
+
+
+# A stream that waited for a full server of its version held up all other requests.
+def test_a_request_for_one_version_does_not_hold_up_others():
+    async def run():
+        loop = asyncio.get_running_loop()
+        directory = Directory(loop.time)
+        directory.put(make_server("a", slots=1, version="v1"))
+        directory.put(make_server("b", slots=1, version="v2"))
+        placement = Placement(loop.time, "z1", {"z1": "r1"})
+        limits = ServerLimits(loop.time, "h1", lambda *_: ["h1"])
+        queue = AdmissionQueue(
+            directory, placement, limits, make_brittle_servers(loop.time)
+        )
+        for server_id in "ab":
+            for number in range(4):
+                placement.note_sent(server_id, Work(), number)
+
+        def search(version):
+            deadline = loop.time() + WAIT_TIMEOUT_S
+            return asyncio.create_task(
+                queue.find_server("s", Work(), None, [], 1, deadline, version)
+            )
+
+        for_version = search("v1")
+        for_any = search(None)
+        await wait_until(lambda: queue.count_waiting("s") == 2)
+        placement.note_request_ended("b", 0)
+        assert (await for_any).id == "b"
+        placement.note_request_ended("b", 1)
+        assert (await search(None)).id == "b"
+        assert not for_version.done()
+        later = search(None)
+        await wait_until(lambda: queue.count_waiting("s") == 2)
+        placement.note_request_ended("a", 0)
+        assert (await for_version).id == "a"
+        assert not later.done()
+        later.cancel()
+
+    asyncio.run(run())
