--- a/bronzesail/platform/_requests.py
+++ b/bronzesail/platform/_requests.py
@@ -48,7 +48,7 @@
     for name, value in headers:
         lower = name.lower()
         if lower == b"connection":
-            listed.update(part.strip().lower() for part in value.split(b","))
+            listed |= _read_listed(value)
             continue
         if lower in found and lower in (b"x-attempt-id", b"authorization"):
             raise MalformedError("a header is duplicated")
@@ -126,7 +126,7 @@
     listed: set[bytes] = set()
     for name, value in headers:
         if name.lower() == b"connection":
-            listed.update(part.strip().lower() for part in value.split(b","))
+            listed |= _read_listed(value)
     replaced = set(REPLACED_HEADERS)
     lines = [method, b" ", target, b" HTTP/1.1\r\n"]
     if last_event_id is not None:
@@ -143,6 +143,11 @@
     return b"".join(lines)
 
 
+def _read_listed(value: bytes) -> set[bytes]:
+    """Return the names that a Connection header declares as hop-by-hop."""
+    return {part.strip().lower() for part in value.split(b",")}
+
+
 def _read_sends(value: bytes | None) -> int | None:
     """Return how often another router has sent the request, None from a caller."""
     if value is None or not value.isdigit() or len(value) > len(str(MAX_SENDS)):
--- a/bronzesail/router/neighbourhood.py
+++ b/bronzesail/router/neighbourhood.py
@@ -374,12 +374,8 @@
 
     def _list_fleet(self, max_silence_s: float) -> dict[str, str]:
         """Return the data centre of each live router of the fleet, this one too."""
-        now = self._now()
-        zone_by_host = {
-            known.host: known.zone
-            for known in self._neighbours.values()
-            if now - known.heard_at < max_silence_s and not known.is_leaving
-        }
+        live = self._list_live_anywhere(max_silence_s)
+        zone_by_host = {known.host: known.zone for known in live}
         for zone, hosts in self.list_other_zones().items():
             zone_by_host.update(dict.fromkeys(hosts, zone))
         zone_by_host[self.host] = self._zone
@@ -390,12 +386,8 @@
 
         The rendezvous hash for a subject gives the order, the same at each router.
         """
-        now = self._now()
-        addresses = {
-            known.host: known.address
-            for known in self._neighbours.values()
-            if now - known.heard_at < LIVENESS_TIMEOUT_S and not known.is_leaving
-        }
+        live = self._list_live_anywhere(LIVENESS_TIMEOUT_S)
+        addresses = {known.host: known.address for known in live}
         for hosts in self.list_other_zones().values():
             addresses.update(hosts)
         ranked = sorted(
@@ -470,13 +462,16 @@
 
     def _list_live(self) -> list[Neighbour]:
         """Return the routers of this data centre that are live and not leaving."""
+        live = self._list_live_anywhere(LIVENESS_TIMEOUT_S)
+        return [known for known in live if known.zone == self._zone]
+
+    def _list_live_anywhere(self, max_silence_s: float) -> list[Neighbour]:
+        """Return the known routers of all data centres that are live and stay."""
         now = self._now()
         return [
             known
             for known in self._neighbours.values()
-            if known.zone == self._zone
-            and now - known.heard_at < LIVENESS_TIMEOUT_S
-            and not known.is_leaving
+            if now - known.heard_at < max_silence_s and not known.is_leaving
         ]
 
     @classmethod
--- a/bronzesail/router/stream_versions.py
+++ b/bronzesail/router/stream_versions.py
@@ -112,11 +112,6 @@
             history = self._histories[service] = _History(self._now())
         history.earlier_version = version
 
-    def list_listed(self, service: str) -> frozenset[str]:
-        """Return the versions that are in the directory now."""
-        history = self._histories.get(service)
-        return frozenset() if history is None else history.listed
-
     def list_services(self) -> list[str]:
         """Return the services that have been seen."""
         return list(self._histories)
