--- a/review/standins.py
+++ b/review/standins.py
@@ -604,8 +604,8 @@
 class Deployment:
     """A small deployment: store, runners and three routers."""
 
-    def __init__(self, case_path, n_routers=3):
-        self.record = Record(Path(case_path).resolve().parent / "record.txt")
+    def __init__(self, case_path, n_routers=3, record="record.txt"):
+        self.record = Record(Path(case_path).resolve().parent / record)
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.store = Store()
         self.runners = []
