platform: JSON that is nested too deeply is malformed, not the end of a task

Cause: msgspec raises RecursionError for nested JSON, and the three decoders of the adapter turned DecodeError only into ValueError, which is all that the watches expect. `ServerWatch.run` ended; the row is met again by each full read.

Ruled out: the bytes in the log line (the error's text is short) and the store's own answer (the value is base64 there). The same decoder stood three times, for entries, configuration and the store's answers; all three had the fault.

Change: one `decode_object`, which raises MalformedError for both.

--- a/bronzesail/platform/_configuration.py
+++ b/bronzesail/platform/_configuration.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING, Any
 
-import msgspec
-
 from ..model import (
     ClientAccount,
     Configuration,
@@ -17,6 +15,7 @@
 )
 from ._fields import (
     MalformedError,
+    decode_object,
     read_entries,
     read_int,
     read_map,
@@ -44,12 +43,7 @@
     ValueError
         If it is not valid JSON, or a field is missing or has a wrong type.
     """
-    try:
-        fields = msgspec.json.decode(body)
-    except msgspec.DecodeError as error:
-        raise MalformedError(str(error)) from error
-    if not isinstance(fields, dict):
-        raise MalformedError("the configuration is not a JSON object")
+    fields = decode_object(body)
     accounts = [_decode_account(entry) for entry in read_entries(fields, "tenants")]
     services = [_decode_service(entry) for entry in read_entries(fields, "services")]
     return Configuration(
--- a/bronzesail/platform/_fields.py
+++ b/bronzesail/platform/_fields.py
@@ -1,12 +1,15 @@
-"""Reads typed fields from decoded JSON or TOML objects."""
+"""Decodes JSON objects, and reads typed fields of JSON or TOML objects."""
 
 from __future__ import annotations
 
 import math
 from typing import Any
 
+import msgspec
+
 __all__ = [
     "MalformedError",
+    "decode_object",
     "read_address",
     "read_entries",
     "read_int",
@@ -20,6 +23,25 @@
     """Raised when a message from the platform lacks a field or has a wrong type."""
 
 
+def decode_object(encoded: bytes) -> dict[str, Any]:
+    """Return the JSON object that `encoded` holds.
+
+    Raises
+    ------
+    MalformedError
+        If it is not valid JSON, nested too deeply, or not an object.
+    """
+    try:
+        fields = msgspec.json.decode(encoded)
+    except msgspec.DecodeError as error:
+        raise MalformedError(str(error)) from error
+    except RecursionError as error:
+        raise MalformedError("the JSON is nested too deeply") from error
+    if not isinstance(fields, dict):
+        raise MalformedError("the JSON is not an object")
+    return fields
+
+
 def read_text(fields: dict[str, Any], name: str) -> str:
     """Return a field that holds a non-empty string."""
     value = fields.get(name)
--- a/bronzesail/platform/_servers.py
+++ b/bronzesail/platform/_servers.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
-import msgspec
-
 from ..model import BackendServer
-from ._fields import MalformedError, read_address, read_int, read_text
+from ._fields import (
+    MalformedError,
+    decode_object,
+    read_address,
+    read_int,
+    read_text,
+)
 
 __all__ = ["decode_server"]
 
@@ -18,12 +22,7 @@
     ValueError
         If the entry is malformed or does not describe a usable server.
     """
-    try:
-        fields = msgspec.json.decode(value)
-    except msgspec.DecodeError as error:
-        raise MalformedError(str(error)) from error
-    if not isinstance(fields, dict):
-        raise MalformedError("the entry is not a JSON object")
+    fields = decode_object(value)
     state = read_text(fields, "state")
     if state not in ("ready", "draining"):
         raise MalformedError(f"the state {state!r} is unknown")
--- a/bronzesail/platform/_store.py
+++ b/bronzesail/platform/_store.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from ..model import Row, RowsAnswer, StoreVersion
-from ._fields import MalformedError, read_entries, read_int, read_text, read_texts
+from ._fields import decode_object, read_entries, read_int, read_text, read_texts
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -93,7 +93,7 @@
         ValueError
             If the response is malformed.
         """
-        fields = _decode_object(body)
+        fields = decode_object(body)
         return read_texts(fields, "parts"), fields.get("hasMore") is True
 
     def decode_rows(self, body: bytes, era: int) -> RowsAnswer:
@@ -104,7 +104,7 @@
         ValueError
             If the response is malformed.
         """
-        fields = _decode_object(body)
+        fields = decode_object(body)
         return RowsAnswer(
             rows=[_decode_row(entry) for entry in read_entries(fields, "rows")],
             has_more=fields.get("hasMore") is True,
@@ -114,16 +114,6 @@
         )
 
 
-def _decode_object(body: bytes) -> dict[str, Any]:
-    try:
-        fields = msgspec.json.decode(body)
-    except msgspec.DecodeError as error:
-        raise MalformedError(str(error)) from error
-    if not isinstance(fields, dict):
-        raise MalformedError("the response is not a JSON object")
-    return fields
-
-
 def _encode_key(key: RowKey) -> dict[str, str]:
     return {"table": key.table, "part": key.part, "key": key.key}
 
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -94,6 +94,25 @@
             continue
 
 
+# Guards against an entry of another writer that ends the watch of the servers: JSON that
+# is nested too deeply raises a RecursionError, which no caller of a decoder expects.
+@pytest.mark.parametrize("depth", [4_000, 60_000])
+@pytest.mark.parametrize(
+    "decode",
+    [
+        decode_configuration,
+        lambda body: decode_server("i-1", body),
+        lambda body: StoreWire().decode_rows(body, 0),
+        StoreWire().decode_parts,
+    ],
+    ids=["configuration", "server", "rows", "parts"],
+)
+def test_deeply_nested_json_raises_only_value_errors(decode, depth):
+    for body in (b"[" * depth, b'{"a":' * depth, b'{"zone":' + b"[" * depth):
+        with pytest.raises(ValueError):
+            decode(body)
+
+
 @given(name=st.sampled_from(sorted(ENTRY)), value=JSON)
 def test_server_entry_with_one_invalid_field_raises_only_value_errors(name, value):
     try:
