platform: numbers of entries that no message can hold are malformed

Cause: `read_int` had no bound. The entry is `draining`, so its start goes into each hello for 2 s, where msgspec raises OverflowError. `ConfigurationWatch` and `Peers.run` send hellos and ended by that error.

Ruled out: the configuration itself was read and decoded; the store's feed went on. With 400 digits `math.isfinite` raises OverflowError as well, in the decoder.

Change: numbers of the platform are bounded by 2^53 - 1, up to which JSON numbers are exact everywhere.

--- a/bronzesail/platform/_fields.py
+++ b/bronzesail/platform/_fields.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import Any
 
 import msgspec
@@ -18,6 +17,9 @@
     "read_texts",
 ]
 
+# JSON numbers up to this one are exact in all implementations (RFC 8259, section 6).
+MAX_INT = 2**53 - 1
+
 
 class MalformedError(ValueError):
     """Raised when a message from the platform lacks a field or has a wrong type."""
@@ -54,12 +56,17 @@
     """Return a number as an integer, or `default` if the field is missing.
 
     A fraction is cut off.
+
+    Raises
+    ------
+    MalformedError
+        If it is no number between ``-MAX_INT`` and `MAX_INT`.
     """
     value = fields.get(name, default)
     if isinstance(value, bool) or not isinstance(value, (int, float)):
         raise MalformedError(f"{name} is not a number")
-    if not math.isfinite(value):
-        raise MalformedError(f"{name} is not finite")
+    if not -MAX_INT <= value <= MAX_INT:  # Also True for a NaN.
+        raise MalformedError(f"{name} is out of range")
     return int(value)
 
 
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -85,6 +85,19 @@
         decode_server("i-1", json.dumps(ENTRY | changes).encode())
 
 
+# Guards against numbers that overflow where they are used: in the hello of a router, in
+# a division, or in the comparison with an infinite float.
+@pytest.mark.parametrize("name", ["slots", "coldLeftMs", "born"])
+@pytest.mark.parametrize(
+    "number",
+    ["9007199254740992", str(2**64), str(2**127), "9" * 400, "1e300", "-1e300"],
+)
+def test_number_out_of_range_in_a_server_entry_is_rejected(name, number):
+    entry = json.dumps(ENTRY | {name: 0}).replace(f'"{name}": 0', f'"{name}": {number}')
+    with pytest.raises(ValueError):
+        decode_server("i-1", entry.encode())
+
+
 @given(st.binary(max_size=60) | JSON.map(lambda value: json.dumps(value).encode()))
 def test_arbitrary_bytes_raise_only_value_errors_in_decoders(body):
     for decode in (decode_configuration, lambda b: decode_server("i", b)):
@@ -94,8 +107,8 @@
             continue
 
 
-# Guards against an entry of another writer that ends the watch of the servers: JSON that
-# is nested too deeply raises a RecursionError, which no caller of a decoder expects.
+# Guards against an entry of another writer that ends the watch of the servers: JSON
+# that is nested too deeply raises a RecursionError, which no caller expects.
 @pytest.mark.parametrize("depth", [4_000, 60_000])
 @pytest.mark.parametrize(
     "decode",
--- a/tests/test_router/test_foreign_entries.py
+++ b/tests/test_router/test_foreign_entries.py
@@ -32,3 +32,31 @@
                 assert (status, body) == (200, b"x")
 
     asyncio.run(run())
+
+
+# Guards against a number of an entry that no hello can hold: sending one failed, which
+# ended the watch of the configuration, so that a removed key stayed in force.
+def test_entry_with_a_number_out_of_range_does_not_stop_changes(tmp_path):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            deployment.store.put("op", "config", make_configuration())
+            backend = await deployment.start_backend("p1", "app", echo_body)
+            router = await deployment.start_router("h1")
+            await wait_until(router.app.is_ready)
+            other = backend.make_entry("draining") | {"service": "x", "born": 2**127}
+            deployment.store.put("servers", "other-writer", other)
+            # Changes come in one order: the entry has been read when this server is.
+            await deployment.start_backend("p2", "app", echo_body)
+            await wait_until(lambda: router.app.directory.get("p2") is not None)
+            # A watch that ends by the failure has applied the first of two versions.
+            deployment.store.put("op", "config", make_configuration(version=2))
+            await wait_until(lambda: router.app.configuration.version == 2)
+            configuration = make_configuration(version=3)
+            configuration["tenants"][0]["apiKeys"] = ["new-key"]
+            deployment.store.put("op", "config", configuration)
+            await wait_until(lambda: router.app.configuration.version == 3)
+            status, _, _ = await deployment.send(router, "/look/1")
+            assert status == 401
+            await router.stop()
+
+    asyncio.run(run())
