router: background tasks that fail are started again, and hellos fail alone

One unexpected error ended the watch of the servers, or of the configuration and all hellos, until the process ended; a SIGTERM within 2 s of the entry cut the streams, as the first step of draining is a hello.

Cause: a background task that raised was logged and never started again, and `send_hello` raised into whatever announced a change: the watches, a drain.

Change: `Supervisor` runs the ten background tasks, starts one that raises or returns again after 0.5 s, and logs the innermost frames. The gauge `background_failures` counts them and errors in callbacks of the loop, which are logged as structured lines now. A hello that cannot be made is logged and ends nothing else. Each task may start again: watches go on from the version that they have noted, the renewal of budgets reads its tables and leaves attempts in doubt, the others keep no state of their own.

Evidence: test_changes_and_planned_stops_do_not_depend_on_hellos failed without the change of `send_hello`; the supervisor's own tests are new.

--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -54,6 +54,7 @@
 from .stream_lookup import StreamLookup
 from .stream_rows import StreamRows
 from .stream_versions import StreamVersions
+from .supervision import Supervisor
 from .version_claims import VersionClaims
 from .watches import (
     MAX_BACKOFF,
@@ -135,7 +136,7 @@
         self.is_draining = False
         self.is_refusing_requests = False
         self._stop_requested = asyncio.Event()
-        self._tasks: list[asyncio.Task[None]] = []
+        self.supervisor = Supervisor(loop, self.log)
         self._callers: set[CallerConnection] = set()
         self._exchanges: set[asyncio.Task[None]] = set()
         self._servers: list[asyncio.Server] = []
@@ -324,7 +325,8 @@
 
     def abort(self) -> None:
         """Stop at once, as a crash would: no draining, and peers are not notified."""
-        for task in (*self._tasks, *self._exchanges):
+        self.supervisor.cancel()
+        for task in self._exchanges:
             task.cancel()
         for server in self._servers:
             server.close()
@@ -359,23 +361,19 @@
                 reuse_address=True,
             )
         )
-        for coroutine in (
-            self._configuration_watch.run(),
-            self._server_watch.run(),
-            self.keeper.run(),
-            self.version_claims.run(),
-            self.stream_rows.run(),
-            self.peers.run(),
-            self.desk.return_leftovers(),
-            self._sweep(),
-            self._watch_settings(),
-            self._log_holdings_regularly(),
+        for name, run in (
+            ("configuration watch", self._configuration_watch.run),
+            ("server watch", self._server_watch.run),
+            ("budget renewal", self.keeper.run),
+            ("version claims", self.version_claims.run),
+            ("stream rows", self.stream_rows.run),
+            ("hellos", self.peers.run),
+            ("token returns", self.desk.return_leftovers),
+            ("sweep", self._sweep),
+            ("settings watch", self._watch_settings),
+            ("holdings log", self._log_holdings_regularly),
         ):
-            task = loop.create_task(
-                coroutine, name=getattr(coroutine, "__qualname__", None)
-            )
-            task.add_done_callback(self._note_task_ended)
-            self._tasks.append(task)
+            self.supervisor.start(name, run)
         self.log.write(
             "router: started",
             incarnation=self.incarnation,
@@ -385,15 +383,6 @@
             seeds=[ip for ip, _ in settings.seeds],
         )
 
-    def _note_task_ended(self, task: asyncio.Task[None]) -> None:
-        """Log a background task that ended by itself, which none should."""
-        if not task.cancelled():
-            self.log.write(
-                "router: background task ended",
-                task=task.get_name(),
-                error=repr(task.exception()),
-            )
-
     async def _start_metrics(self) -> None:
         """Serve metrics on the shared port, unless another process listens there."""
         address = (self.settings.ip, SHARED_METRICS_PORT)
@@ -508,6 +497,7 @@
         set_state("rows_written_again", self.keeper.rows_written_again)
         set_state("tokens_reclaimed", self.keeper.reclaimed_tokens)
         set_state("log_lines_dropped", self.log.dropped)
+        set_state("background_failures", self.supervisor.n_failures)
 
     # Changes of the configuration, the directory and the other routers.
 
@@ -739,8 +729,7 @@
             elapsed_s = self._loop.time() - started_at
             if elapsed_s > ACCEPT_AFTER_STOP_S and not self.is_refusing_requests:
                 self.is_refusing_requests = True
-                for task in self._tasks:
-                    task.cancel()
+                self.supervisor.cancel()
             if self.is_refusing_requests and self.book.count_free() > 0:
                 await self._return_tokens(is_final=False)
             if elapsed_s > UNREADY_NOTICE_S:
@@ -752,8 +741,7 @@
         for server in self._servers:
             server.close()
         # A later renewal would replace the row that says that this process has ended.
-        for task in self._tasks:
-            task.cancel()
+        self.supervisor.cancel()
         await self._return_tokens(is_final=True)
         self._log_holdings()
         self.log.write("router: stopped", cut=len(self._exchanges))
@@ -815,6 +803,7 @@
         application = Application(
             loop, path, started_at, restore_depth_s=restore_depth_s
         )
+        loop.set_exception_handler(application.supervisor.note_callback_error)
         loop.add_signal_handler(signal.SIGTERM, application.request_stop)
         loop.add_signal_handler(signal.SIGHUP, application.reload_settings)
         await application.run()
--- a/bronzesail/router/peers.py
+++ b/bronzesail/router/peers.py
@@ -170,7 +170,14 @@
             await asyncio.sleep(HELLO_INTERVAL_S)
 
     def send_hello(self) -> None:
-        """Send a hello now.
+        """Send a hello now; an error is logged, as the caller's own work goes on."""
+        try:
+            self._send_hello()
+        except Exception as error:
+            self._log.write("peers: hello not sent", error=repr(error))
+
+    def _send_hello(self) -> None:
+        """Send a hello.
 
         The leader of a data centre adds digests of the live routers of the others, and
         sends the leaders of those a hello with the digest of its own.
