router: rows and messages that are nested too deeply are malformed

Eleven places decode rows of the store or what other routers send, and all expected DecodeError only. The rows are read by the renewal of budgets, the claims of versions and the rows of streams, whose tasks would have ended; a datagram's error went to the loop.

Change: `decode_json` and `decode_datagram` raise ValueError for both, and all of these places use them.

No caller was seen to send such bytes.

--- a/bronzesail/router/budget_keeper.py
+++ b/bronzesail/router/budget_keeper.py
@@ -27,6 +27,7 @@
     make_part,
     reclaim,
 )
+from .decoding import decode_json
 from .earlier_eras import EarlierEras
 from .store import ConflictError, StoreError
 
@@ -263,8 +264,8 @@
         holders = {}
         for row in answer.rows:
             try:
-                holder = msgspec.json.decode(row.value, type=HolderRow)
-            except msgspec.DecodeError as error:
+                holder = decode_json(row.value, HolderRow)
+            except ValueError as error:
                 self._log.write("budget: row unreadable", key=row.key, error=str(error))
                 continue
             holders[row.key] = (holder, row.version)
@@ -433,8 +434,8 @@
     def _reconcile_own_row(self, row: Row) -> None:
         """Resolve the attempts in doubt by this process's row."""
         try:
-            holder = msgspec.json.decode(row.value, type=HolderRow)
-        except msgspec.DecodeError as error:
+            holder = decode_json(row.value, HolderRow)
+        except ValueError as error:
             self._log.write("budget: own row unreadable", error=str(error))
             return
         self.book.reconcile_own_row(holder, row.version)
@@ -444,8 +445,8 @@
         if row.is_removed or not row.version:
             return
         try:
-            account = msgspec.json.decode(row.value, type=AccountRow)
-        except msgspec.DecodeError as error:
+            account = decode_json(row.value, AccountRow)
+        except ValueError as error:
             self._log.write("budget: row unreadable", key=row.key, error=str(error))
             return
         self.book.update_account(row.key, account.out, row.version)
--- a/bronzesail/router/earlier_eras.py
+++ b/bronzesail/router/earlier_eras.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING, TypeVar
 
-import msgspec
-
 from .budget_rows import (
     ACCOUNT_TABLE,
     HOLDER_TABLE,
@@ -17,6 +15,7 @@
     parse_part,
 )
 from .carryover import EraCopy, compute_carryover, list_unreported
+from .decoding import decode_json
 from .store import EraChangedError, StoreError
 
 if TYPE_CHECKING:
@@ -134,6 +133,6 @@
     def _decode(row: Row, row_type: type[T]) -> T:
         """Return a row's value; an unreadable one must not count as nothing spent."""
         try:
-            return msgspec.json.decode(row.value, type=row_type)
-        except msgspec.DecodeError as error:
+            return decode_json(row.value, row_type)
+        except ValueError as error:
             raise StoreError(f"row {row.key} is unreadable: {error}") from error
--- a/bronzesail/router/peer_sync.py
+++ b/bronzesail/router/peer_sync.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from .client import Call, ConnectError
+from .decoding import decode_json
 from .directory import Listing
 from .internal_http import (
     CONFIGURATION_PATH,
@@ -235,8 +236,8 @@
         if body is None:
             return
         try:
-            listing = msgspec.json.decode(body, type=Listing)
-        except msgspec.DecodeError as error:
+            listing = decode_json(body, Listing)
+        except ValueError as error:
             self._log.write("peers: answer unreadable", error=str(error))
             return
         removed = self._directory.adopt(listing)
@@ -260,8 +261,8 @@
         if body is None:
             return
         try:
-            report = msgspec.json.decode(body, type=CrashReport)
-        except msgspec.DecodeError as error:
+            report = decode_json(body, CrashReport)
+        except ValueError as error:
             self._log.write("peers: answer unreadable", error=str(error))
             return
         self._poison.merge(report.requests)
@@ -274,9 +275,9 @@
         if body is None:
             return
         try:
-            texts = msgspec.json.decode(body, type=dict[str, str])
+            texts = decode_json(body, dict[str, str])
             hosts = {host: parse_address(text) for host, text in texts.items()}
-        except (msgspec.DecodeError, ValueError) as error:
+        except ValueError as error:
             self._log.write("peers: answer unreadable", error=str(error))
             return
         self._neighbourhood.note_zone_hosts(zone, hosts)
--- a/bronzesail/router/peers.py
+++ b/bronzesail/router/peers.py
@@ -17,6 +17,7 @@
 import attrs
 import msgspec
 
+from .decoding import decode_datagram
 from .messages import (
     Hello,
     LimitReports,
@@ -365,8 +366,8 @@
     def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
         """Decode one datagram and dispatch it by its type."""
         try:
-            message = self._message_decoder.decode(data)
-        except msgspec.DecodeError as error:
+            message = decode_datagram(data, self._message_decoder)
+        except ValueError as error:
             self._log.write("peers: malformed datagram", error=str(error))
             return
         address = (str(addr[0]), int(addr[1]))
--- a/bronzesail/router/stream_rows.py
+++ b/bronzesail/router/stream_rows.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from ..model import RowKey, RowWrite
+from .decoding import decode_json
 from .store import StoreError
 from .stream_versions import MAX_STREAM_AGE_S, StreamBeginning
 
@@ -138,8 +139,8 @@
                 row = await self._store.read_row(key.table, key.part, key.key)
             if row is None:
                 return None
-            return msgspec.json.decode(row.value, type=StreamBeginning)
-        except (StoreError, TimeoutError, msgspec.DecodeError) as error:
+            return decode_json(row.value, StreamBeginning)
+        except (StoreError, TimeoutError, ValueError) as error:
             self._log.write(
                 "stream: row not read", resumes=request_id, error=repr(error)
             )
@@ -175,6 +176,6 @@
 def _read_service(value: bytes) -> str | None:
     """Return the service of a row, None if the row cannot be read."""
     try:
-        return msgspec.json.decode(value, type=StreamBeginning).service
-    except msgspec.DecodeError:
+        return decode_json(value, StreamBeginning).service
+    except ValueError:
         return None
--- a/bronzesail/router/version_claims.py
+++ b/bronzesail/router/version_claims.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from ..model import RowCheck, RowKey, RowWrite
+from .decoding import decode_json
 from .store import ConflictError, StoreError
 
 if TYPE_CHECKING:
@@ -154,8 +155,8 @@
     def _note_row(self, row: Row) -> None:
         """Record a row; one that cannot be read names no version."""
         try:
-            claim = msgspec.json.decode(row.value, type=_ClaimRow)
-        except msgspec.DecodeError as error:
+            claim = decode_json(row.value, _ClaimRow)
+        except ValueError as error:
             self._log.write("stream: row unreadable", service=row.key, error=str(error))
             claim = _ClaimRow(None)
         self._note_claim(row.key, claim.version, row.version)
