router: a server that was unreachable is not believed to have its old version

Cause: the version of a server was taken from its entry, which is that of the life before until the server writes it again. Streams of the old version went on at the new life, and streams that began there counted as begun by the old one.

Ruled out: a register of versions by connection, asked of each server by `GET /report`: it is priced, and needed for each new connection.

Change: `ServerLives` doubts an entry from the last broken or refused connection on, until the entry arrives with another start, or is written again over 1 s later, or for 3 s from the first new connection; not while a connection from before is open. No stream goes on at a doubted server; one that begins there gets its version when the doubt ends, and is told as undetermined if it breaks off before.

--- a/bronzesail/router/admission_queue.py
+++ b/bronzesail/router/admission_queue.py
@@ -20,6 +20,7 @@
     from .directory import Directory
     from .placement import Placement
     from .server_limits import ServerLimits
+    from .server_lives import ServerLives
 
 __all__ = ["AdmissionQueue"]
 
@@ -56,6 +57,8 @@
         The request rates that servers have announced.
     brittle : BrittleServers
         The room at servers that must not reject many requests.
+    lives : ServerLives
+        The servers whose version is in doubt, which no stream may go on at.
     """
 
     def __init__(
@@ -64,11 +67,13 @@
         placement: Placement,
         limits: ServerLimits,
         brittle: BrittleServers,
+        lives: ServerLives,
     ) -> None:
         self._directory = directory
         self._placement = placement
         self._limits = limits
         self._brittle = brittle
+        self._lives = lives
         self._permit_timers: dict[str, asyncio.TimerHandle] = {}
         self._queues: dict[str, list[tuple[int, int, _QueuedRequest]]] = {}
         self._sequence = itertools.count()
@@ -142,6 +147,10 @@
         """Return the number of queued requests of a service."""
         return sum(not w.future.done() for _, _, w in self._queues.get(service, ()))
 
+    def list_waiting(self) -> list[str]:
+        """Return the services with queued requests."""
+        return [service for service in self._queues if self.count_waiting(service)]
+
     def find_resume_time(
         self,
         service: str,
@@ -304,6 +313,8 @@
         for server in servers:
             if self._limits.find_wait_s(server) > 0:
                 continue
+            if queued.version is not None and self._lives.is_doubted(server):
+                continue
             if not self._has_room(server):
                 continue
             share = self._directory.withdrawals.compute_share(server)
--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -48,6 +48,7 @@
 from .reservation_queue import ReservationQueue
 from .server_limits import ServerLimits
 from .server_links import ServerLinks
+from .server_lives import ServerLives
 from .services import Services
 from .store import StoreClient
 from .store_era import StoreEra
@@ -173,8 +174,10 @@
             self.neighbourhood.list_nearest,
             self._random,
         )
+        self.pool = ClientPool(loop)
+        self.lives = ServerLives(loop.time, self.pool, self.directory)
         self.line = AdmissionQueue(
-            self.directory, self.placement, self.limits, self.brittle
+            self.directory, self.placement, self.limits, self.brittle, self.lives
         )
         self.book = BudgetBook(
             settings.host,
@@ -238,7 +241,6 @@
             self.log,
             self._random,
         )
-        self.pool = ClientPool(loop)
         self.links = ServerLinks(
             loop,
             self.log,
@@ -270,6 +272,7 @@
             stream_lookup=self.stream_lookup,
             links=self.links,
             brittle=self.brittle,
+            lives=self.lives,
             report_server_full=self.peers.send_server_full,
             announce_state=self.peers.send_hello,
             forwarder=Forwarder(
@@ -686,6 +689,9 @@
                 self.log.write("directory: expired server removed", server=server_id)
                 self._note_versions()
             self.links.check()
+            self.lives.check()
+            for service in self.line.list_waiting():
+                self.line.dispatch(service)
             self.book.check_invariant()
 
     async def _watch_settings(self) -> None:
--- a/bronzesail/router/client.py
+++ b/bronzesail/router/client.py
@@ -83,6 +83,7 @@
         self._has_head = False
         self._is_close_delimited = False
         self._is_broken = False
+        self.was_broken_off = False  # Ended by the other side while it was usable.
         self._framing_bytes = 0  # Bytes read since the last piece of a body.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -153,6 +154,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report an unfinished response to its sink as broken."""
+        self.was_broken_off = self.is_usable
         self.is_usable = False
         self._on_lost(self)
         self._break("connection reset" if exc else "connection closed")
@@ -227,6 +229,8 @@
         self._open: dict[tuple[str, int], set[Connection]] = {}
         self._heard_at: dict[tuple[str, int], float] = {}
         self._lost_at: dict[tuple[str, int], float] = {}
+        self._broken_at: dict[tuple[str, int], float] = {}
+        self._reopened_at: dict[tuple[str, int], float] = {}
         self.n_opened = 0
 
     def acquire_idle(self, address: tuple[str, int]) -> Connection | None:
@@ -259,12 +263,15 @@
                     address[1],
                 )
         except (OSError, TimeoutError) as error:
+            self._broken_at[address] = self._loop.time()
             refused = isinstance(error, ConnectionRefusedError)
             raise ConnectError(
                 "refused" if refused else "failed or timed out"
             ) from error
         protocol.opened_at = self._loop.time()
         self._heard_at[address] = protocol.opened_at
+        if self.get_reopened_at(address) <= self.get_broken_at(address):
+            self._reopened_at[address] = protocol.opened_at
         if not protocol.is_closing:
             self._open.setdefault(address, set()).add(protocol)
         return protocol
@@ -288,6 +295,14 @@
         """Return when a connection to an address last ended, whoever ended it."""
         return self._lost_at.get(address, -math.inf)
 
+    def get_broken_at(self, address: tuple[str, int]) -> float:
+        """Return when an address last broke off, or did not accept, a connection."""
+        return self._broken_at.get(address, -math.inf)
+
+    def get_reopened_at(self, address: tuple[str, int]) -> float:
+        """Return when the first connection was opened after the one that broke off."""
+        return self._reopened_at.get(address, -math.inf)
+
     def _note_data(self, connection: Connection) -> None:
         """Record that data has arrived."""
         self._heard_at[connection.address] = self._loop.time()
@@ -295,6 +310,8 @@
     def _forget(self, connection: Connection) -> None:
         """Stop tracking a connection that has ended."""
         self._lost_at[connection.address] = self._loop.time()
+        if connection.was_broken_off:
+            self._broken_at[connection.address] = self._loop.time()
         tracked = self._open.get(connection.address)
         if tracked is None:
             return
@@ -326,7 +343,12 @@
                 idle.popleft().close()
             if not idle:
                 del self._idle[address]
-        for times in (self._heard_at, self._lost_at):
+        for times in (
+            self._heard_at,
+            self._lost_at,
+            self._broken_at,
+            self._reopened_at,
+        ):
             for address in [a for a, at in times.items() if now - at > FORGET_AFTER_S]:
                 del times[address]
 
--- a/bronzesail/router/directory.py
+++ b/bronzesail/router/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -74,6 +75,8 @@
         self._store_recovered_at = -1e9
         self._store_restored_at = -1e9
         self._removed_lives: dict[str, tuple[int, float]] = {}  # Start, time by id.
+        self._started_at: dict[str, float] = {}
+        self._renewed_at: dict[str, float] = {}
         self.withdrawals = Withdrawals(now)
         self.generation = 0
         self.store_version = StoreVersion()
@@ -152,11 +155,29 @@
         if server.is_draining and server.born_ms:
             # The entry may be back at an earlier state after a restore of the store.
             self.withdrawals.note_leaving(server.id, server.born_ms)
+        if known is None or (known.born_ms, known.version) != (
+            server.born_ms,
+            server.version,
+        ):
+            self._started_at[server.id] = self._now()
         self._servers[server.id] = server
         self._replaced.discard(server.id)
         self.generation += 1
         return True
 
+    def note_renewed(self, server_id: str) -> None:
+        """Record that a server has just written its entry, changed or not."""
+        if server_id in self._servers:
+            self._renewed_at[server_id] = self._now()
+
+    def get_started_at(self, server_id: str) -> float:
+        """Return when the entry of a server's current life became known."""
+        return self._started_at.get(server_id, -math.inf)
+
+    def get_renewed_at(self, server_id: str) -> float:
+        """Return when a server was last known to have written its entry."""
+        return self._renewed_at.get(server_id, -math.inf)
+
     def note_replaced(self, server: BackendServer) -> bool:
         """Record that another server has answered at the address of an entry.
 
@@ -267,6 +288,8 @@
         """Remove a server and its state."""
         self._grace_ends.pop(server_id, None)
         self._replaced.discard(server_id)
+        self._started_at.pop(server_id, None)
+        self._renewed_at.pop(server_id, None)
         server = self._servers.pop(server_id, None)
         now = self._now()
         for key, (_, removed_at) in list(self._removed_lives.items()):
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -25,6 +25,7 @@
 from .placement import Work
 from .poison import make_fingerprint
 from .relay import Ending, Outcome, Relay, StreamState
+from .stream_versions import UNDETERMINED
 
 if TYPE_CHECKING:
     from ..model import (
@@ -133,6 +134,7 @@
         self._stream: StreamState | None = None
         # Software version of the server that began the stream, once it has begun.
         self._version: str | None = None
+        self._has_begun_undetermined = False  # At a server whose version is in doubt.
         self._tried_server_ids: list[str] = []
         self._asked_hosts: list[str] = []  # Routers that it was forwarded to.
         self._forwarded_events = 0  # Relayed from other routers, which charge them.
@@ -177,6 +179,7 @@
         finally:
             self._close_connection()
             self._settle()
+            self._note_undetermined()
             self._log_end()
 
     async def _serve(self) -> None:
@@ -282,7 +285,7 @@
         beginning = await self._services.stream_lookup.find(
             self._head.resumes or "", self._service
         )
-        if beginning is None:
+        if beginning is None or beginning.version == UNDETERMINED:
             raise self._make_refusal_error(ResultCode.STREAM_UNKNOWN)
         if beginning.service not in [name for name, _ in self._route.services]:
             raise self._make_refusal_error(
@@ -653,6 +656,7 @@
             outcome = await self._wait_for_response(server, relay)
         finally:
             relay.release()
+            self._services.lives.remove_watcher(self._note_version)
             if is_waiting_for_head:
                 placement.note_response_started(server.id, unread_tokens, ticket)
             placement.note_request_ended(server.id, ticket)
@@ -680,10 +684,27 @@
         self._services.crashing_parts.note_begun(self._shared_parts)
         if self._stream is None or self._version is not None:
             return
-        self._version = server.version
+        self._has_begun_undetermined = True
+        self._services.lives.add_watcher(server, self._note_version)
+
+    def _note_version(self, version: str) -> None:
+        """Record the software version that has begun the stream."""
         assert self._head is not None
+        self._has_begun_undetermined = False
+        self._version = version
         self._services.stream_lookup.note_begun(
-            self._head.request_id, self._service, server.version
+            self._head.request_id, self._service, version
+        )
+
+    def _note_undetermined(self) -> None:
+        """Keep a stream that broke off from going on if its version is not known."""
+        if not self._has_begun_undetermined or self._outcome_label == "ok":
+            return
+        self._services.log.write(
+            "stream: broken off before its version was known", request=self._request_id
+        )
+        self._services.stream_lookup.note_undetermined(
+            self._request_id or "", self._service
         )
 
     def _encode_request(self, server: BackendServer) -> bytes:
--- a/bronzesail/router/services.py
+++ b/bronzesail/router/services.py
@@ -29,6 +29,7 @@
 from .retry_budget import RetryBudget
 from .server_limits import ServerLimits
 from .server_links import ServerLinks
+from .server_lives import ServerLives
 from .stream_lookup import StreamLookup
 from .watches import ConfigurationKeeper
 
@@ -68,6 +69,7 @@
     stream_lookup: StreamLookup
     links: ServerLinks
     brittle: BrittleServers
+    lives: ServerLives
     report_server_full: Callable[[ServerFull], None]  # To the other routers.
     announce_state: Callable[[], None]  # To the other routers, at once.
     forwarder: Forwarder
--- a/bronzesail/router/stream_lookup.py
+++ b/bronzesail/router/stream_lookup.py
@@ -14,7 +14,7 @@
 import attrs
 
 from .messages import StreamBeginnings, StreamQuery, StreamReply
-from .stream_versions import StreamBeginning, combine_views
+from .stream_versions import UNDETERMINED, StreamBeginning, combine_views
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -90,6 +90,11 @@
             self._told_services.add(service)
             self._tell([StreamBeginning(request_id, service, version)])
 
+    def note_undetermined(self, request_id: str, service: str) -> None:
+        """Record, here and at others, that a stream cannot go on at any version."""
+        self._streams.note_begun(request_id, service, UNDETERMINED)
+        self._tell([StreamBeginning(request_id, service, UNDETERMINED)])
+
     def tell_unknown(self) -> None:
         """Tell others of the streams whose version they can no longer infer.
 
--- a/bronzesail/router/stream_versions.py
+++ b/bronzesail/router/stream_versions.py
@@ -17,11 +17,20 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
 
-__all__ = ["MAX_STREAM_AGE_S", "StreamBeginning", "StreamVersions", "VersionView"]
+__all__ = [
+    "MAX_STREAM_AGE_S",
+    "UNDETERMINED",
+    "StreamBeginning",
+    "StreamVersions",
+    "VersionView",
+]
 
 # A stream that began longer ago is not taken up any more: callers' deadlines are half
 # as long.
 MAX_STREAM_AGE_S = 30.0
+# Stands for the version of a stream that broke off before its server's was certain. No
+# server has it, so that routers of earlier builds refuse the stream as well.
+UNDETERMINED = ""
 MAX_BEGINNINGS = 20_000  # Above it the oldest are forgotten; 200 bytes each.
 
 
@@ -35,7 +44,7 @@
     service : str
         Name of the service.
     version : str
-        Software version of the server that sent the event.
+        Software version of the server that sent the event, or `UNDETERMINED`.
     age_s : float
         Time since the event.
     """
--- a/bronzesail/router/watches.py
+++ b/bronzesail/router/watches.py
@@ -355,8 +355,11 @@
                 is_changed = True
                 continue
             server = self._decode(row)
-            if server is not None and self._put(server):
+            if server is None:
+                continue
+            if self._put(server):
                 is_changed = True
+            self._directory.note_renewed(server.id)
         if is_changed:
             self._on_change()
 
--- a/tests/router_fakes.py
+++ b/tests/router_fakes.py
@@ -12,6 +12,8 @@
 from bronzesail.model import BackendServer, Row, RowKey, RowsAnswer, StoreVersion
 from bronzesail.router.brittle_servers import BrittleServers
 from bronzesail.router.budget_rows import HOLDER_TABLE, HolderRow
+from bronzesail.router.client import ClientPool
+from bronzesail.router.server_lives import ServerLives
 from bronzesail.router.store import ConflictError, EraChangedError, StoreError
 
 
@@ -223,3 +225,8 @@
     if row is None:
         return None
     return msgspec.json.decode(row.value, type=HolderRow), row.version
+
+
+def make_server_lives(now, directory):
+    """Return the lives of servers none of whose connections were ever lost."""
+    return ServerLives(now, ClientPool(None), directory)
--- a/tests/test_router/test_server_limits.py
+++ b/tests/test_router/test_server_limits.py
@@ -24,7 +24,12 @@
     make_configuration,
     wait_until,
 )
-from tests.router_fakes import ManualClock, make_brittle_servers, make_server
+from tests.router_fakes import (
+    ManualClock,
+    make_brittle_servers,
+    make_server,
+    make_server_lives,
+)
 
 N_ROUTERS = 6
 REQUESTS_PER_S = 15
@@ -338,7 +343,11 @@
         limits.note_answer(SERVER, 5.0)
         placement = Placement(loop.time, "z1", {"z1": "r1"})
         queue = AdmissionQueue(
-            directory, placement, limits, make_brittle_servers(loop.time)
+            directory,
+            placement,
+            limits,
+            make_brittle_servers(loop.time),
+            make_server_lives(loop.time, directory),
         )
         async with asyncio.timeout(WAIT_TIMEOUT_S):
             await scenario(queue, loop)
--- /dev/null
+++ b/tests/test_router/test_server_lives.py
@@ -0,0 +1,183 @@
+"""Servers that start again under their ids before their entries say so."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+import pytest
+
+from bronzesail.router.directory import Directory
+from bronzesail.router.server_lives import (
+    DOUBT_S,
+    MAX_DOWN_S,
+    RENEWAL_DELAY_S,
+    ServerLives,
+)
+from tests.platform_standin import Deployment, make_configuration, wait_until
+from tests.router_fakes import ManualClock, make_server
+
+BOUNDS = "retryBudgetRatio = 9.0"  # The retry budget ends no stream here.
+
+
+@attrs.define
+class FakePool:
+    """The connections to one server."""
+
+    broken_at: float = -1e9
+    reopened_at: float = -1e9
+    has_old_connection: bool = False
+
+    def get_broken_at(self, address):
+        return self.broken_at
+
+    def get_reopened_at(self, address):
+        return self.reopened_at
+
+    def has_connection(self, address, opened_before):
+        return self.has_old_connection
+
+
+@pytest.fixture
+def lives():
+    clock = ManualClock()
+    directory, pool = Directory(clock), FakePool()
+    directory.put(make_server("a", born_ms=1))
+    clock.now += 10.0
+    server_lives = ServerLives(clock, pool, directory)
+    server_lives.pool, server_lives.directory = pool, directory
+    server_lives.clock = clock
+    return server_lives
+
+
+def is_doubted(lives):
+    return lives.is_doubted(lives.directory.get("a"))
+
+
+def lose_connections(lives):
+    lives.pool.broken_at = lives.clock.now
+    lives.clock.now += 0.1
+
+
+def test_an_entry_is_doubted_for_a_while_after_all_connections_were_lost(lives):
+    assert not is_doubted(lives)
+    lose_connections(lives)
+    lives.clock.now += DOUBT_S
+    assert is_doubted(lives)  # It may be down for longer than its entry takes.
+    lives.pool.reopened_at = lives.clock.now
+    lives.clock.now += DOUBT_S
+    assert is_doubted(lives)
+    lives.clock.now += 0.1
+    assert not is_doubted(lives)
+
+
+def test_an_entry_is_not_doubted_for_ever(lives):
+    lose_connections(lives)
+    lives.clock.now += MAX_DOWN_S
+    assert not is_doubted(lives)
+
+
+def test_an_entry_is_not_doubted_while_an_old_connection_is_open(lives):
+    lives.pool.has_old_connection = True
+    lose_connections(lives)
+    assert not is_doubted(lives)
+
+
+def test_an_entry_of_a_new_life_is_not_doubted(lives):
+    lose_connections(lives)
+    lives.directory.put(make_server("a", born_ms=2))
+    assert not is_doubted(lives)
+
+
+def test_an_entry_that_was_written_after_the_loss_is_not_doubted(lives):
+    lose_connections(lives)
+    lives.directory.note_renewed("a")
+    assert is_doubted(lives)  # It may have been written before.
+    lives.clock.now += RENEWAL_DELAY_S
+    lives.directory.note_renewed("a")
+    assert not is_doubted(lives)
+
+
+def test_watchers_are_told_the_version_of_the_new_life(lives):
+    versions = []
+    lose_connections(lives)
+    server = lives.directory.get("a")
+    lives.add_watcher(server, versions.append)
+    lives.check()
+    assert versions == []
+    lives.directory.put(make_server("a", born_ms=2, version="v2"))
+    lives.check()
+    lives.check()
+    assert versions == ["v2"]
+
+
+def test_a_removed_watcher_is_not_told(lives):
+    versions = []
+    lose_connections(lives)
+    lives.add_watcher(lives.directory.get("a"), versions.append)
+    lives.remove_watcher(versions.append)
+    lives.clock.now += MAX_DOWN_S
+    lives.check()
+    assert versions == []
+
+
+def stream_until_broken(events, is_broken):
+    """Return a `behave` coroutine whose streams are broken off after some events."""
+
+    async def behave(request, responder, headers):
+        length = ("Content-Length", "1000")
+        await responder.start(
+            200, (*headers, length, ("Content-Type", "text/event-stream"))
+        )
+        first = int(request.find_header("last-event-id", "0")) + 1
+        for number in range(first, first + events):
+            await responder.write(b"id: %d\ndata: x\n\n" % number)
+        await is_broken.wait()
+        raise ConnectionResetError("the server breaks off")
+
+    return behave
+
+
+async def start_again(backend, version):
+    """Begin a new life of another version, whose entry is not written yet."""
+    backend.version = version
+    backend.requests.clear()
+    await backend.crash()
+
+
+# Guards against streams that go on at a server which runs another version by now
+# (ORDER): its entry was believed until it was renewed.
+def test_a_stream_does_not_go_on_at_a_server_that_has_just_started_again(tmp_path):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            deployment.store.put("op", "config", make_configuration())
+            is_broken = asyncio.Event()
+            behave = stream_until_broken(3, is_broken)
+            first = await deployment.start_backend("a", "llm", behave)
+            second = await deployment.start_backend("b", "llm", behave)
+            router = await deployment.start_router("h1", bounds=BOUNDS)
+            await wait_until(
+                lambda: router.app.is_ready() and len(router.app.directory) == 2
+            )
+            streams = [
+                asyncio.create_task(deployment.send(router, f"/talk/{n}"))
+                for n in range(6)
+            ]
+            await wait_until(lambda: len(first.requests + second.requests) == 6)
+            assert first.requests and second.requests
+            await asyncio.sleep(0.2)
+            await start_again(second, "v2")
+            await asyncio.sleep(0.2)
+            first_again = asyncio.create_task(start_again(first, "v1"))
+            await first_again
+            await asyncio.sleep(0.3)
+            continued = [r for r in second.requests if r.find_header("last-event-id")]
+            assert continued == []
+            deployment.store.remove("servers", "a")
+            deployment.store.put("servers", "b", second.make_entry() | {"born": 5})
+            is_broken.set()
+            await asyncio.gather(*streams)
+            continued = [r for r in second.requests if r.find_header("last-event-id")]
+            assert continued == []
+
+    asyncio.run(run())
--- a/tests/test_router/test_withdrawals.py
+++ b/tests/test_router/test_withdrawals.py
@@ -29,7 +29,12 @@
     stream_events,
     wait_until,
 )
-from tests.router_fakes import ManualClock, make_brittle_servers, make_server
+from tests.router_fakes import (
+    ManualClock,
+    make_brittle_servers,
+    make_server,
+    make_server_lives,
+)
 
 BORN_MS = 1_700_000_000_000
 
@@ -383,7 +388,11 @@
             placement.note_sent("a", Work(), number)
         limits = ServerLimits(loop.time, "h1", lambda *_: ["h1"])
         queue = AdmissionQueue(
-            directory, placement, limits, make_brittle_servers(loop.time)
+            directory,
+            placement,
+            limits,
+            make_brittle_servers(loop.time),
+            make_server_lives(loop.time, directory),
         )
         deadline = loop.time() + 10 * WAIT_TIMEOUT_S
         search = asyncio.create_task(
@@ -447,7 +456,11 @@
         placement = Placement(loop.time, "z1", {"z1": "r1"})
         limits = ServerLimits(loop.time, "h1", lambda *_: ["h1"])
         queue = AdmissionQueue(
-            directory, placement, limits, make_brittle_servers(loop.time)
+            directory,
+            placement,
+            limits,
+            make_brittle_servers(loop.time),
+            make_server_lives(loop.time, directory),
         )
         for number in range(4):
             placement.note_sent("a", Work(), number)
@@ -489,7 +502,11 @@
         placement = Placement(loop.time, "z1", {"z1": "r1"})
         limits = ServerLimits(loop.time, "h1", lambda *_: ["h1"])
         queue = AdmissionQueue(
-            directory, placement, limits, make_brittle_servers(loop.time)
+            directory,
+            placement,
+            limits,
+            make_brittle_servers(loop.time),
+            make_server_lives(loop.time, directory),
         )
         for server_id in "ab":
             for number in range(4):
