router: a removal after one failed call is not taken for an expiry in an outage

What callers may see (DRAIN): a server that leaves without a word, by the removal of its entry, stays in use for 2 s after a router has learned of it.

Cause, by reading: after any failed call the next response counted as the end of an outage of the store, in which entries may have expired. One call that hangs, or an idle connection that the store closes, was enough.

Change: removals are deferred only after an outage of two heartbeats or more, as entries expire after three that are missing. The heartbeat is read from the settings file. Time counts from the last response to the next one, so that no real outage counts as shorter.

Evidence: test_a_removal_after_a_single_failed_call_is_not_deferred failed before; test_a_removal_after_an_outage_in_which_entries_expire_is_deferred holds the rest.

--- a/bronzesail/model/_types.py
+++ b/bronzesail/model/_types.py
@@ -231,6 +231,7 @@
     store: StoreSettings
     memory_bytes: int
     link_mbps: float
+    heartbeat_s: float  # Between two renewals of a backend server's entry.
 
     @property
     def region(self) -> str:
--- a/bronzesail/platform/_settings.py
+++ b/bronzesail/platform/_settings.py
@@ -42,6 +42,7 @@
         store=_decode_store(read_map(fields, "platform")),
         memory_bytes=read_int(limits, "memoryMb", 300) * 1_000_000,
         link_mbps=float(read_int(limits, "linkMbps", 1000)),
+        heartbeat_s=read_int(fields, "heartbeatMs", 1200) / 1000,
     )
 
 
--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -307,6 +307,7 @@
             self._compute_retry_delay_s,
             self.directory,
             self._apply_directory,
+            settings.heartbeat_s,
         )
         self._configuration_watch = ConfigurationWatch(
             self.store,
--- a/bronzesail/router/watches.py
+++ b/bronzesail/router/watches.py
@@ -43,6 +43,9 @@
 STANDBY_POLL_S = 0.1  # Between checks whether another router still follows the store.
 # Longest random delay of a full read that changes of the store's history require.
 FULL_READ_SPREAD_S = 0.3
+# Entries expire after three heartbeats that are missing, the first of which may be due
+# just after an outage has begun: no shorter outage makes an entry expire.
+MIN_LAPSE_HEARTBEATS = 2
 # Interval of full reads, which detect a feed that has stopped reporting changes.
 FULL_READ_INTERVAL_S = 6.0
 
@@ -152,6 +155,7 @@
         self._tracked_state = tracked_state
         self._needs_full_read = False
         self._call_started_at = 0.0
+        self._answered_at = 0.0
         self.is_in_step = False  # Follows the store, and the last call succeeded.
         self.has_lost_store = False  # Follows the store, but the last call failed.
 
@@ -251,9 +255,12 @@
 
     def _note_response(self) -> None:
         self._failures = 0
+        now = asyncio.get_running_loop().time()
+        outage_s = now - self._answered_at
+        self._answered_at = now
         if self.has_lost_store:
             self.has_lost_store = False
-            self._note_store_recovered()
+            self._note_store_recovered(outage_s)
         self._set_in_step(True, "answer")
 
     def _note_call_failure(self, error: StoreError) -> None:
@@ -278,8 +285,8 @@
         self._log.write(f"store: {state}", table=self.table, reason=reason)
         self._on_sync_change()
 
-    def _note_store_recovered(self) -> None:
-        """Process the first response after the store was unreachable."""
+    def _note_store_recovered(self, outage_s: float) -> None:
+        """Process the first response after the store was unreachable for a time."""
 
     def _apply_rows(self, rows: list[Row]) -> None:
         raise NotImplementedError
@@ -329,15 +336,18 @@
         find_retry_s: Callable[[int], float],
         directory: Directory,
         on_change: Callable[[], None],
+        heartbeat_s: float,
     ) -> None:
         super().__init__(
             store, log, may_follow, on_sync_change, find_retry_s, directory
         )
+        self._heartbeat_s = heartbeat_s
         self._directory = directory
         self._on_change = on_change
 
-    def _note_store_recovered(self) -> None:
-        self._directory.note_store_recovered()
+    def _note_store_recovered(self, outage_s: float) -> None:
+        if outage_s >= MIN_LAPSE_HEARTBEATS * self._heartbeat_s:
+            self._directory.note_store_recovered()
 
     def _apply_rows(self, rows: list[Row]) -> None:
         servers = [s for row in rows if (s := self._decode(row)) is not None]
--- a/tests/test_router/test_watches.py
+++ b/tests/test_router/test_watches.py
@@ -40,14 +40,20 @@
         self.watched_versions = []
 
     async def read_table(self, table, part="", timeout_factor=1):
-        return await self.answers.get()
+        return await self._take_answer()
+
+    async def _take_answer(self):
+        queued = await self.answers.get()
+        if isinstance(queued, StoreError):
+            raise queued
+        return queued
 
     async def watch(self, table, since, wait_s, timeout_factor=1):
         self.watched_versions.append(since.number)
-        return await self.answers.get()
+        return await self._take_answer()
 
 
-def make_watch(store, directory, find_retry_s=lambda failures: 0.0):
+def make_watch(store, directory, find_retry_s=lambda failures: 0.0, heartbeat_s=1.2):
     return ServerWatch(
         store,
         RecordingLog(),
@@ -56,6 +62,7 @@
         find_retry_s,
         directory,
         lambda: None,
+        heartbeat_s,
     )
 
 
@@ -187,6 +194,33 @@
     assert [server.id for server in directory.list_usable("s")] == ["a"]
 
 
+def remove_after_a_failed_call(heartbeat_s):
+    """Return the servers left after a call that fails and a removal that follows."""
+
+    async def run():
+        store, directory = ScriptedStore(), Directory(asyncio.get_running_loop().time)
+        watch = make_watch(store, directory, heartbeat_s=heartbeat_s)
+        task = asyncio.create_task(watch.run())
+        store.answers.put_nowait(answer(5, make_row("a", "ready", 5)))
+        store.answers.put_nowait(StoreError("no answer"))
+        store.answers.put_nowait(answer(6, remove_row("a", 6)))
+        await wait_until(lambda: directory.store_version.number == 6)
+        task.cancel()
+        return directory.list_ids()
+
+    return asyncio.run(run())
+
+
+# Guards against a server that leaves and stays in use for 2 s more (DRAIN): after one
+# failed call its removal was taken for an expiry in an outage of the store.
+def test_a_removal_after_a_single_failed_call_is_not_deferred():
+    assert remove_after_a_failed_call(heartbeat_s=60.0) == []
+
+
+def test_a_removal_after_an_outage_in_which_entries_expire_is_deferred():
+    assert remove_after_a_failed_call(heartbeat_s=0.0) == ["a"]
+
+
 class LostCallStore(SlowStore):
     """Store client whose third call is lost, after two that failed."""
 
