router, platform: one spoiled load header does not end the service

Cause: `_read_load` took a number of any length. `Placement.estimate_requests` multiplies it by a float once the report is 1.5 s old: OverflowError, for each request that looks at that server, so that no other answer replaces the report.

Change: reported numbers of more than six digits are malformed, logged like the other headers. A report far above a server's places kept requests from it for good, as its weight never fell below 0.3 and nothing asked for another one: it is dropped after 12 s. On related paths, token counts of callers are bounded by 10^9.

Ruled out by a test: large token counts and prompt parts of one caller harm no other (test_large_numbers_of_a_caller_do_not_harm_others passed before as well).

--- a/bronzesail/platform/_answers.py
+++ b/bronzesail/platform/_answers.py
@@ -23,6 +23,7 @@
     b"server-leaving", b"server-limit", b"server-brittle", b"retry-after", b"store-era",
 }  # fmt: skip
 DECIMAL_NUMBER = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?")
+MAX_LOAD_DIGITS = 6  # Of a reported number of requests; servers have some dozens.
 MAX_ERA = 1_000_000_000  # The store's era rises by one with each restore.
 # Statuses that guarantee callers that the request was not and will not be executed.
 NOT_EXECUTED_STATUSES = {408, 421, 429, 503}
@@ -51,8 +52,8 @@
     def finish(self, status: int) -> AnswerHead:
         """Return the response's head, decoded from the collected lines."""
         request_id = self._value_by_name.get(b"x-attempt-id")
-        running, waiting = _read_load(self._value_by_name.get(b"x-server-load"))
         malformed: list[str] = []
+        running, waiting = self._read_load(malformed)
         return AnswerHead(
             status=status,
             request_id=None if request_id is None else request_id.decode("latin-1"),
@@ -73,6 +74,19 @@
             malformed=tuple(malformed),
         )
 
+    def _read_load(self, malformed: list[str]) -> tuple[int | None, int | None]:
+        """Return the numbers of running and waiting requests, None if malformed."""
+        value = self._value_by_name.get(b"x-server-load")
+        if value is None:
+            return None, None
+        parts = [part.strip() for part in value.split(b",")[:2]]
+        if len(parts) < 2 or not all(
+            part.isdigit() and len(part) <= MAX_LOAD_DIGITS for part in parts
+        ):
+            malformed.append("X-Server-Load")
+            return None, None
+        return int(parts[0]), int(parts[1])
+
     def _read_leaving(self, malformed: list[str]) -> bool:
         """Whether the server announces that it will stop."""
         values = self._values_by_name.get(b"server-leaving", [])
@@ -163,13 +177,3 @@
             date = date.replace(tzinfo=datetime.UTC)
         return max(0.0, (date - datetime.datetime.now(datetime.UTC)).total_seconds())
     return seconds if seconds >= 0 else None  # Also None for a NaN.
-
-
-def _read_load(value: bytes | None) -> tuple[int | None, int | None]:
-    """Return the numbers of running and waiting requests that a server reports."""
-    if value is None:
-        return None, None
-    parts = value.split(b",")
-    if len(parts) < 2 or not all(part.strip().isdigit() for part in parts[:2]):
-        return None, None
-    return int(parts[0]), int(parts[1])
--- a/bronzesail/platform/_requests.py
+++ b/bronzesail/platform/_requests.py
@@ -31,6 +31,8 @@
 }  # fmt: skip
 # Headers that a router replaces when it forwards a request to another router.
 REPLACED_HEADERS = {b"x-deadline-ms", b"x-router-sends"}
+MAX_TOKENS = 1_000_000_000  # Of one request; far beyond the memory of any engine.
+MAX_PART_DIGITS = 9
 MAX_SENDS = 99  # Of one request, to servers.
 MAX_ID_BYTES = 200  # The limit of a key in the store.
 
@@ -200,8 +202,8 @@
         counts = int(prompt), int(output)
     except ValueError as error:
         raise MalformedError("the token counts are not numbers") from error
-    if min(counts) < 0:
-        raise MalformedError("the token counts are negative")
+    if not 0 <= min(counts) <= max(counts) <= MAX_TOKENS:
+        raise MalformedError("the token counts are out of range")
     return counts
 
 
@@ -213,7 +215,7 @@
     parts = []
     for entry in (value or b"").decode("latin-1").split(","):
         part_id, separator, tokens = entry.strip().partition(":")
-        if not separator or not tokens.isdigit():
+        if not separator or not tokens.isdecimal() or len(tokens) > MAX_PART_DIGITS:
             continue
         parts.append((part_id, int(tokens)))
     return tuple(parts)
--- a/bronzesail/router/placement.py
+++ b/bronzesail/router/placement.py
@@ -31,6 +31,9 @@
 # Age at which a load report begins to lose weight. Reports come with answers only and
 # are some hundred ms old on arrival.
 REPORT_FRESH_S = 1.5
+# Age at which a report is dropped. While it keeps requests from a server, no answer
+# brings a newer one.
+REPORT_TTL_S = 12.0
 FAILURE_WEIGHT = 0.15  # Of one outcome in the moving average of failures.
 FAILURE_COST_S = 1.5  # Penalty of a server that fails every request.
 FAILURE_COST_TTL_S = 6.0  # The penalty expires, so that the server is tried again.
@@ -245,12 +248,14 @@
 
         This is the number of own requests, those included that are about to be sent,
         plus the reported requests of other routers, which lose weight as the report
-        ages.
+        ages, up to `REPORT_TTL_S`.
         """
         load = self.get_load(server_id)
         age_s = now - load.reported_at
         others = max(0.0, load.reported_requests - load.in_flight_at_report)
-        if age_s > REPORT_FRESH_S:
+        if age_s > REPORT_TTL_S:
+            others = 0.0
+        elif age_s > REPORT_FRESH_S:
             others *= max(0.3, 1 - (age_s - REPORT_FRESH_S) / 10)
         return load.in_flight + load.assigned + others
 
