tests: test processes that run side by side use addresses of their own

The log of the fourth router shows it: OSError 98, address already in use, at 127.0.0.7. Ports are chosen while they are free and bound later, and all test processes used the addresses 127.0.0.2 to 127.0.0.251.

Change: the two middle numbers of the address come from the process's id.

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -24,6 +24,8 @@
 KEY = "key-of-acme"
 WAIT_TIMEOUT_S = 30.0  # Fails a test that would hang; no assertion depends on it.
 
+# Differs between test processes, which would otherwise choose the same ports at times.
+_NETWORK = f"127.{os.getpid() % 200 + 20}.{os.getpid() // 200 % 250}"
 _ip_numbers = itertools.count(2)
 
 
@@ -375,7 +377,7 @@
 
     @classmethod
     def choose(cls):
-        ip = f"127.0.0.{next(_ip_numbers) % 250 + 2}"
+        ip = f"{_NETWORK}.{next(_ip_numbers) % 250 + 2}"
         with contextlib.ExitStack() as stack:
             # All are bound at once, or the same port could be chosen twice.
             sockets = [stack.enter_context(socket.socket()) for _ in range(3)]
