router: an entry of a server is believed in the store's order, whatever its start

The only way on which an entry is dropped without a line is `Directory.put`: it ignored an entry whose start precedes that of the known one. The users' record shows the same: "server: unreachable, refused", and no other change of that server before the late requests. A server that starts again on a host whose clock is behind was ignored until its entry went: its leaving (DRAIN), its version (ORDER, as streams counted as of the version before) and its load.

Change: within an era the store's order says which entry is the later one. An entry with an earlier start is ignored for 5 s after a restore of the store only, when entries of earlier lives are back. A life that is over is not taken for leaving by a peer's word. Server-Limit has the same order by start: the life that was heard later counts.

--- a/bronzesail/router/directory.py
+++ b/bronzesail/router/directory.py
@@ -20,6 +20,10 @@
 LAPSE_GRACE_S = 2.0
 # Time after the recovery during which a removal may be such an expiry.
 LAPSE_WINDOW_S = 2.0
+# After a restore of the store, entries of earlier lives are back until their servers
+# write them again. Otherwise the store's order decides which life is the later one, as
+# the clocks of servers may be set back.
+RESTORED_ENTRY_TTL_S = 5.0
 # How long the removal of an entry is remembered; copies of the store that it is
 # restored from are some seconds old.
 REMOVED_TTL_S = 60.0
@@ -151,7 +155,9 @@
         if known == server:
             return False
         if known is not None and known.born_ms > server.born_ms > 0:
-            return False  # The entry precedes the last start of the server.
+            if self._now() - self._store_restored_at < RESTORED_ENTRY_TTL_S:
+                return False  # The entry precedes the last start of the server.
+            self.withdrawals.note_ended(server.id, known.born_ms)
         if server.is_draining and server.born_ms:
             # The entry may be back at an earlier state after a restore of the store.
             self.withdrawals.note_leaving(server.id, server.born_ms)
--- a/bronzesail/router/server_limits.py
+++ b/bronzesail/router/server_limits.py
@@ -143,7 +143,10 @@
         now = self._now()
         heard_at = now - max(0.0, report.age_s)
         known = self._announcements.get(report.server_id)
-        if known is None or report.born_ms > known.born_ms:
+        if known is None or (
+            report.born_ms != known.born_ms and heard_at > known.heard_at
+        ):
+            # A later life may have an earlier start, if a clock was set back.
             self._announcements[report.server_id] = _Announcement(
                 born_ms=report.born_ms,
                 rate_per_s=report.rate_per_s,
@@ -151,7 +154,7 @@
                 noted_at=now,
             )
             return True
-        if report.born_ms < known.born_ms or heard_at <= known.heard_at:
+        if report.born_ms != known.born_ms or heard_at <= known.heard_at:
             return False
         known.heard_at = heard_at
         if report.rate_per_s == known.rate_per_s:
--- a/bronzesail/router/withdrawals.py
+++ b/bronzesail/router/withdrawals.py
@@ -64,10 +64,13 @@
         self._now = now
         self._leaving: dict[str, _LeavingLife] = {}
         self._pauses: dict[str, _Pause] = {}
+        self._ended: dict[str, int] = {}  # Start of a life that is over, by id.
         self.n_pauses = 0
 
     def note_leaving(self, server_id: str, born_ms: int) -> bool:
         """Record that a life of a server ends; return whether this was unknown."""
+        if self._ended.get(server_id) == born_ms:
+            return False
         known = self._leaving.get(server_id)
         if known is not None and known.born_ms >= born_ms:
             return False
@@ -77,6 +80,16 @@
             del self._leaving[next(iter(self._leaving))]
         return True
 
+    def note_ended(self, server_id: str, born_ms: int) -> None:
+        """Record that a life is over, although the next one has an earlier start."""
+        self._ended.pop(server_id, None)
+        self._ended[server_id] = born_ms
+        while len(self._ended) > MAX_LIVES:
+            del self._ended[next(iter(self._ended))]
+        known = self._leaving.get(server_id)
+        if known is not None and known.born_ms == born_ms:
+            del self._leaving[server_id]
+
     def is_leaving(self, server: BackendServer) -> bool:
         """Whether this life of a server ends."""
         life = self._leaving.get(server.id)
--- a/tests/test_router/test_server_limits.py
+++ b/tests/test_router/test_server_limits.py
@@ -255,6 +255,20 @@
     assert limits.count_limited() == 0
 
 
+# A later life may have an earlier start, if its server's clock was set back.
+def test_the_limit_of_a_life_with_an_earlier_start_is_kept():
+    clock = ManualClock()
+    limits = ServerLimits(clock, "h1", lambda *_: ["h1"])
+    limits.note_answer(SERVER, 5.0)
+    clock.now += 1.0
+    restarted = make_server("a", born_ms=0)
+    assert limits.note_answer(restarted, 3.0)
+    assert limits.find_rate(restarted) == 3.0
+    earlier = LimitReport("a", SERVER.born_ms, 5.0, age_s=1.0)  # Passed on by a peer.
+    assert limits.merge([earlier]) == []
+    assert limits.find_rate(restarted) == 3.0
+
+
 def test_a_message_of_reports_fits_into_one_packet():
     reports = [LimitReport(f"i-{n:010x}", n + 2**42, n / 3, n / 7) for n in range(100)]
     selected = select_limits(reports)
