router: data on open connections does not show that a server accepts new ones

Cause: a server counted as reached once any data had arrived from it since the refused connection, or a stream had ended well. Events of open streams did that, so that the service was not out of reach and nothing was forwarded.

Ruled out: the forwarding itself, which served all once the streams had ended.

Change: a server is out of reach from a failed connection on until it accepts one, unless an idle connection can carry a request. A second server that cannot be reached leads to probes of the others. Requests are taken back only if nothing arrives from the service any more, as before.

--- a/bronzesail/router/client.py
+++ b/bronzesail/router/client.py
@@ -228,6 +228,7 @@
         self._idle: dict[tuple[str, int], deque[Connection]] = {}
         self._open: dict[tuple[str, int], set[Connection]] = {}
         self._heard_at: dict[tuple[str, int], float] = {}
+        self._accepted_at: dict[tuple[str, int], float] = {}
         self._lost_at: dict[tuple[str, int], float] = {}
         self._broken_at: dict[tuple[str, int], float] = {}
         self._reopened_at: dict[tuple[str, int], float] = {}
@@ -270,6 +271,7 @@
             ) from error
         protocol.opened_at = self._loop.time()
         self._heard_at[address] = protocol.opened_at
+        self._accepted_at[address] = protocol.opened_at
         if self.get_reopened_at(address) <= self.get_broken_at(address):
             self._reopened_at[address] = protocol.opened_at
         if not protocol.is_closing:
@@ -291,6 +293,19 @@
         """Return when an address last sent data or accepted a connection."""
         return self._heard_at.get(address, -math.inf)
 
+    def get_accepted_at(self, address: tuple[str, int]) -> float:
+        """Return when an address last accepted a connection."""
+        return self._accepted_at.get(address, -math.inf)
+
+    def has_idle(self, address: tuple[str, int]) -> bool:
+        """Whether an idle connection to an address can carry a request."""
+        now = self._loop.time()
+        return any(
+            connection.is_usable
+            and now - connection.idle_since < self._find_idle_limit_s(connection)
+            for connection in self._idle.get(address, ())
+        )
+
     def get_lost_at(self, address: tuple[str, int]) -> float:
         """Return when a connection to an address last ended, whoever ended it."""
         return self._lost_at.get(address, -math.inf)
@@ -345,6 +360,7 @@
                 del self._idle[address]
         for times in (
             self._heard_at,
+            self._accepted_at,
             self._lost_at,
             self._broken_at,
             self._reopened_at,
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -589,13 +589,15 @@
             return connection
         try:
             async with asyncio.timeout_at(self._deadline_at):
-                return await self._services.pool.open(server.address)
+                connection = await self._services.pool.open(server.address)
         except TimeoutError as error:
             raise self._make_refusal_error(ResultCode.DEADLINE_PASSED) from error
         except ConnectError as error:
             self._tried_server_ids.append(server.id)
             self._services.links.note_unreachable(server, str(error))
             return None
+        self._services.links.note_reachable(server)
+        return connection
 
     def _spend_retry(self) -> bool:
         """Spend one retry of the service's budget; return whether one was left."""
--- a/bronzesail/router/placement.py
+++ b/bronzesail/router/placement.py
@@ -323,7 +323,6 @@
         load.failure_share *= 1 - FAILURE_WEIGHT
         load.consecutive_failures = 0
         load.consecutive_ejections = 0
-        load.is_unreachable = False
 
     def note_failure(self, server_id: str, *, is_unreachable: bool = False) -> bool:
         """Record a failure; return whether the server is ejected because of it."""
--- a/bronzesail/router/server_links.py
+++ b/bronzesail/router/server_links.py
@@ -94,9 +94,10 @@
         return self._cut_off
 
     def is_cut_off(self, service: str, version: str | None = None) -> bool:
-        """Whether none of the usable servers of a service can be reached from here.
+        """Whether no request can be sent to any usable server of a service from here.
 
-        `version` is the software version of the servers that count; all by default.
+        Answers on connections that live on show nothing of new ones. `version` is the
+        software version of the servers that count; all by default.
         """
         servers = self._directory.list_usable(service, version)
         return bool(servers) and all(self._is_unreachable(s) for s in servers)
@@ -164,18 +165,25 @@
             self._request_check([s for s in services if s not in cut_off])
 
     def _notify_watchers(self, service: str) -> None:
-        """Call the watchers of a service, if it is still out of reach."""
-        if not self.is_cut_off(service):
+        """Call the watchers of a service, if nothing arrives from it any more."""
+        if not self.is_cut_off(service) or any(
+            self._pool.get_heard_at(server.address) > self._get_failed_at(server)
+            for server in self._directory.list_usable(service)
+        ):
             return
         for watcher in list(self._watchers.get(service, ())):
             watcher()
 
     def _is_unreachable(self, server: BackendServer) -> bool:
-        """Whether a connection has failed and the server was not heard since."""
+        """Whether the last attempt to connect has failed and no connection is idle."""
         load = self._placement.loads.get(server.id)
         if load is None or not load.is_unreachable:
             return False
-        return self._pool.get_heard_at(server.address) <= load.failed_at
+        return not self._pool.has_idle(server.address)
+
+    def _get_failed_at(self, server: BackendServer) -> float:
+        """Return when a server last failed."""
+        return self._placement.get_load(server.id).failed_at
 
     def _find_silent_server(self, now: float) -> BackendServer | None:
         """Return a server that owes data while all servers of its service are silent.
@@ -231,7 +239,7 @@
         unknown = [s for s in servers if not self._is_unreachable(s)]
         probed = _select(unknown, MAX_PROBED)
         await asyncio.gather(*(self._probe(server) for server in probed))
-        if any(self._is_heard(server, since) for server in servers):
+        if any(self._pool.get_accepted_at(s.address) > since for s in servers):
             return
         if all(self._is_unreachable(server) for server in probed):
             for server in servers:
@@ -248,15 +256,27 @@
     def note_unreachable(self, server: BackendServer, reason: str) -> None:
         """Record that no connection to a server could be opened for a request.
 
-        If no other server of its service was heard lately, they are probed.
+        If no other server of its service was heard lately, or another one cannot be
+        reached either, they are probed.
         """
         self._mark_unreachable(server, reason)
         since = self._loop.time() - SILENCE_S
         servers = self._list_servers(server.service)
-        if not any(self._is_heard(other, since) for other in servers):
+        n_unreachable = sum(self._is_unreachable(other) for other in servers)
+        if n_unreachable > 1 or not any(self._is_heard(s, since) for s in servers):
             self._request_check([server.service])
         self._update()
 
+    def note_reachable(self, server: BackendServer) -> None:
+        """Record that a connection to a server could be opened."""
+        load = self._placement.get_load(server.id)
+        if not load.is_unreachable:
+            return
+        load.is_unreachable = False
+        self._log.write("server: reachable again", server=server.id)
+        self._update()
+        self._on_reachable(server.service)
+
     async def _probe(self, server: BackendServer) -> None:
         """Connect to a server, and record whether that succeeds."""
         self._probed_at[server.id] = self._loop.time()
@@ -267,13 +287,7 @@
             self._mark_unreachable(server, f"probe: {error or 'timed out'}")
             return
         self._pool.release(connection)
-        load = self._placement.get_load(server.id)
-        if not load.is_unreachable:
-            return
-        load.is_unreachable = False
-        self._log.write("server: reachable again", server=server.id)
-        self._update()
-        self._on_reachable(server.service)
+        self.note_reachable(server)
 
     def _start(self, coroutine: Coroutine[None, None, None]) -> asyncio.Task[None]:
         """Run a coroutine in a task."""
--- a/tests/test_router/test_cut_from_servers.py
+++ b/tests/test_router/test_cut_from_servers.py
@@ -7,6 +7,9 @@
 import pytest
 
 from bronzesail.router.client import CONNECT_TIMEOUT_S, ConnectError
+from bronzesail.router.directory import Directory
+from bronzesail.router.placement import Placement
+from bronzesail.router.server_links import ServerLinks
 from tests.platform_standin import (
     WAIT_TIMEOUT_S,
     Deployment,
@@ -15,6 +18,7 @@
     stream_events,
     wait_until,
 )
+from tests.router_fakes import ManualClock, RecordingLog, make_server
 
 N_ROUTERS = 6
 N_SERVERS = 3
@@ -139,6 +143,68 @@
     asyncio.run(run())
 
 
+class FakePool:
+    """Connections to servers that refuse new ones; those that live on bring data."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.is_idle = False
+
+    def get_heard_at(self, address):
+        return self._clock.now
+
+    def has_idle(self, address):
+        return self.is_idle
+
+    def drop(self, address):
+        self.is_idle = False
+
+
+# Guards against a router that refuses what others would serve (RECOVER): while events
+# of open streams arrived from a server, it counted as reached, although it refused each
+# new connection.
+def test_data_on_open_connections_does_not_show_that_new_ones_are_accepted():
+    clock = ManualClock()
+    directory, pool = Directory(clock), FakePool(clock)
+    server = make_server("a")
+    directory.put(server)
+    placement = Placement(clock, "z1", {"z1": "r1"})
+    links = ServerLinks(
+        None, RecordingLog(), pool, directory, placement, print, lambda: None
+    )
+    assert not links.is_cut_off("s")
+    placement.note_failure("a", is_unreachable=True)
+    clock.now += 1.0
+    placement.note_success("a")  # A stream has ended on its open connection.
+    assert links.is_cut_off("s")
+    pool.is_idle = True
+    assert not links.is_cut_off("s")  # A request can be sent on that one.
+    pool.is_idle = False
+    links.note_reachable(server)
+    assert not links.is_cut_off("s")
+
+
+def test_streams_that_live_on_do_not_hide_that_no_connection_is_accepted(tmp_path):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            backends = await start_fleet(deployment, stream_events(40, 0.1))
+            router = deployment.routers[0]
+            streams = [
+                asyncio.create_task(deployment.send(router, f"/talk/a{n}"))
+                for n in range(9)
+            ]
+            engines = [b for b in backends if b.service == "llm"]
+            await wait_until(lambda: sum(len(b.requests) for b in engines) == 9)
+            cut_off(deployment, backends, "refused", [0])
+            await deployment.send(router, "/talk/b")  # Finds out.
+            late = [await deployment.send(router, f"/chat/c{n}") for n in range(2)]
+            assert [status for status, _, _ in late] == [200, 200]
+            answers = await asyncio.gather(*streams)
+            assert [body.count(b"id: ") for _, _, body in answers] == [40] * 9
+
+    asyncio.run(run())
+
+
 def cut_off(deployment, backends, manner, indexes):
     """Cut routers off from all servers; return the cuts."""
     cuts = [Cut(deployment.routers[i], backends, manner) for i in indexes]
--- a/tests/test_router/test_soak.py
+++ b/tests/test_router/test_soak.py
@@ -18,8 +18,8 @@
 
 # 220: servers that started again under their ids as another version took up streams of
 # the version before (ORDER), as their entries were late.
-# 412: a server started again with a clock that was behind, and its entry was ignored, so
-# that requests reached it after it had said that it leaves (DRAIN).
+# 412: a server started again with a clock that was behind, and its entry was ignored,
+# so that requests reached it after it had said that it leaves (DRAIN).
 @pytest.mark.parametrize(
     ("seed", "soak_type"), [(220, ServerSoak), (412, CalmServerSoak)]
 )
