--- a/bronzesail/model/_types.py
+++ b/bronzesail/model/_types.py
@@ -116,12 +116,13 @@
 class BackendServer:
     """One start of a backend server, as the directory lists it.
 
-    `version` is that of its software; streams of two versions do not fit together.
+    `version` is that of its software; streams of two versions do not fit together. It
+    is empty in the list of a router whose build does not know versions.
     """
 
     id: str
     service: str
-    version: str
+    version: str = ""
     ip: str
     port: int
     zone: str
