--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,13 @@
 # Targets: setup, demo, binary, test, format, schema, bench-NAME, soak, soak-router,
-# mutants, model-check.
+# soak-server, soak-upgrade, mutants, model-check.
 PYTHON ?= python3.11
 VENV ?= .venv
 TEST_PROCESSES ?= 4
 BIN := $(VENV)/bin
 RUN := $(BIN)/python -m
 
-.PHONY: setup demo binary test format schema reference soak soak-router mutants model-check
+.PHONY: setup demo binary test format schema reference soak soak-router soak-server \
+	soak-upgrade mutants model-check
 
 setup: $(VENV)/.installed
 
@@ -60,3 +61,10 @@
 SEEDS ?= 50
 soak-router: setup
 	$(RUN) tests.router_soak --first $(SEED) --seeds $(SEEDS)
+
+soak-server: setup
+	$(RUN) tests.server_soak --first $(SEED) --seeds $(SEEDS) $(SOAK_OPTIONS)
+
+# PRODUCTION names the commit of the earlier build.
+soak-upgrade: setup
+	$(RUN) tests.upgrade_soak $(PRODUCTION) --first $(SEED) --seeds $(SEEDS)
--- a/tests/router_soak.py
+++ b/tests/router_soak.py
@@ -77,6 +77,7 @@
     store_link: object
     process: asyncio.subprocess.Process | None = None
     starts: int = 0
+    root: Path = ROOT  # Of the build that it runs from its next start on.
     restarting: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
     async def start(self):
@@ -92,7 +93,7 @@
             "bronzesail.router",
             "--restore-depth-s",
             str(RESTORE_DEPTH_S),
-            cwd=ROOT,
+            cwd=self.root,
             env=environment,
             stdout=log,
             stderr=log,
@@ -118,6 +119,7 @@
 
     faults_s = FAULTS_S
     n_callers = N_CALLERS
+    root = ROOT  # Of the build that routers run at first.
     prepaid = PREPAID
 
     def __init__(self, folder, seed, n_routers=N_ROUTERS):
@@ -167,7 +169,8 @@
             path = deployment.write_settings(
                 name, addresses, bounds, store=link.address
             )
-            self.routers.append(RouterProcess(name, addresses, path, link))
+            router = RouterProcess(name, addresses, path, link, root=self.root)
+            self.routers.append(router)
         await asyncio.gather(*(router.start() for router in self.routers))
         n_rows = self.n_routers + self.n_others
         await wait_until(
