--- a/tests/test_router/test_brittle_servers.py
+++ b/tests/test_router/test_brittle_servers.py
@@ -80,8 +80,8 @@
         await self.backend.crash(down_s=DOWN_S)
 
 
-# Each router sent what it liked, and servers rejected 83 requests in a second. With less
-# room than their slots, the next request was sent before a rejection had been recorded.
+# Each router sent what it liked, and servers rejected 83 requests in a second. With
+# less room than slots, the next request was sent before a rejection was recorded.
 @pytest.mark.parametrize("slots", [ROOM, 2 * ROOM, 16 * ROOM])
 def test_routers_together_keep_brittle_servers_from_falling(tmp_path, slots):
     async def run():
