tests, tools: the guards of doubted entries have mutants; a stream of an undetermined version

Two more mutants, of streams of an undetermined version and of doubted servers; the first one's guard had no test: test_a_stream_that_broke_off_at_a_ doubted_server_is_not_taken_up fails without it.

--- a/tests/test_router/test_server_lives.py
+++ b/tests/test_router/test_server_lives.py
@@ -181,3 +181,39 @@
             assert continued == []
 
     asyncio.run(run())
+
+
+# Guards against a stream that is taken up although nobody knows which version began it.
+def test_a_stream_that_broke_off_at_a_doubted_server_is_not_taken_up(tmp_path):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            deployment.store.put("op", "config", make_configuration())
+            is_broken = asyncio.Event()
+            is_broken.set()
+            backend = await deployment.start_backend(
+                "a", "llm", stream_until_broken(3, is_broken)
+            )
+            for name in ("h1", "h2"):
+                await deployment.start_router(name, bounds=BOUNDS)
+            first, second = deployment.routers
+            await wait_until(
+                lambda: all(
+                    r.app.is_ready() and len(r.app.peers.list_live()) == 1
+                    for r in deployment.routers
+                )
+            )
+            for number in range(2):  # The first one's end raises the doubt.
+                await deployment.send(first, f"/talk/{number}")
+            certain, doubted = [r.find_header("x-attempt-id") for r in backend.requests]
+            _, headers, _ = await deployment.send(
+                second, "/talk/0", Last_Event_Id="3", Resumes=certain
+            )
+            assert "x-result-code" not in headers
+            assert len(backend.requests) == 3
+            _, headers, _ = await deployment.send(
+                second, "/talk/1", Last_Event_Id="3", Resumes=doubted
+            )
+            assert headers["x-result-code"] == "BZ1411"
+            assert len(backend.requests) == 3
+
+    asyncio.run(run())
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -57,6 +57,7 @@
 PART_TESTS = "tests/test_router/test_crashing_parts.py"
 HELLO_TESTS = "tests/test_router/test_large_fleet.py"
 
+LIFE_TESTS = "tests/test_router/test_server_lives.py"
 VERSION_TESTS = "tests/test_router/test_stream_versions.py"
 CUT_TESTS = "tests/test_router/test_cut_from_servers.py"
 BRITTLE_TESTS = "tests/test_router/test_brittle_servers.py"
@@ -77,10 +78,26 @@
     Mutant(
         "a stream that nobody knows is refused",
         "bronzesail/router/exchange.py",
-        "        if beginning is None:\n            raise",
-        "        if beginning is None:\n            return\n            raise",
+        "        if beginning is None or beginning.version == UNDETERMINED:\n"
+        "            raise",
+        "        if beginning is None or beginning.version == UNDETERMINED:\n"
+        "            return\n            raise",
         VERSION_TESTS,
     ),
+    Mutant(
+        "a stream of an undetermined version is refused",
+        "bronzesail/router/exchange.py",
+        "            self._note_undetermined()\n",
+        "",
+        LIFE_TESTS,
+    ),
+    Mutant(
+        "no stream goes on at a server whose entry is doubted",
+        "bronzesail/router/admission_queue.py",
+        "self._lives.is_doubted(server)",
+        "False",
+        LIFE_TESTS,
+    ),
     Mutant(
         "beginnings of streams outlast all routers",
         "bronzesail/router/stream_lookup.py",
