--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -7,6 +7,7 @@
 import os
 import random
 import signal
+import sys
 from typing import TYPE_CHECKING
 
 import uvloop
@@ -95,6 +96,7 @@
 HOLDINGS_LOG_INTERVAL_S = 2.0
 # Long enough for a call to the store in another region.
 TOKEN_RETURN_TIMEOUT_S = 0.5
+INVALID_SETTINGS_EXIT_CODE = 3  # As of the product's own programs.
 SHARED_METRICS_PORT = 9464  # Named in deploy/system.toml.
 # Names of the background tasks that acquire or return tokens.
 BUDGET_RENEWAL = "budget renewal"
@@ -800,6 +802,8 @@
 def main(started_at: float, restore_depth_s: float = RESTORE_DEPTH_S) -> None:
     """Run one router process until SIGTERM; SIGHUP reloads its settings.
 
+    The process exits with 3 if the settings file is missing or malformed.
+
     Parameters
     ----------
     started_at : float
@@ -807,13 +811,17 @@
     restore_depth_s : float
         Longest time that a copy is behind from which the store may be restored.
     """
-    path = os.environ[SETTINGS_PATH_VARIABLE]
+    path = os.environ.get(SETTINGS_PATH_VARIABLE, "")
 
     async def run() -> None:
         loop = asyncio.get_running_loop()
-        application = Application(
-            loop, path, started_at, restore_depth_s=restore_depth_s
-        )
+        try:
+            application = Application(
+                loop, path, started_at, restore_depth_s=restore_depth_s
+            )
+        except (OSError, ValueError) as error:
+            print(f"settings file {path!r}: {error}", file=sys.stderr)
+            sys.exit(INVALID_SETTINGS_EXIT_CODE)
         loop.set_exception_handler(application.supervisor.note_callback_error)
         loop.add_signal_handler(signal.SIGTERM, application.request_stop)
         loop.add_signal_handler(signal.SIGHUP, application.reload_settings)
