platform, router: ids of servers are bounded where they are used

The id of an entry goes into a header as Latin-1: with another character each request for which that server is chosen ends as an internal error, and a line break would have added a header. Ids that are not printable ASCII are malformed now. And a hello took the first items that fit and stopped at the first that does not: the id of a leaving server with 200 characters kept all that came after it out of the hellos for 2 s. An item that is larger than its share by itself is left out.

Both tests failed before; no caller was seen to meet either.

--- a/bronzesail/platform/_servers.py
+++ b/bronzesail/platform/_servers.py
@@ -22,6 +22,8 @@
     ValueError
         If the entry is malformed or does not describe a usable server.
     """
+    if not (server_id.isascii() and server_id.isprintable()):
+        raise MalformedError("the id cannot stand in a header")
     fields = decode_object(value)
     state = read_text(fields, "state")
     if state not in ("ready", "draining"):
--- a/bronzesail/router/messages.py
+++ b/bronzesail/router/messages.py
@@ -257,11 +257,18 @@
 def _take_within(
     items: Iterable[T], max_bytes: int, measure: Callable[[T], int]
 ) -> list[T]:
-    """Return the first items whose encoded sizes add up to at most `max_bytes`."""
+    """Return the first items whose encoded sizes add up to at most `max_bytes`.
+
+    An item that is larger than that by itself is left out.
+    """
     taken = []
+    left_bytes = max_bytes
     for item in items:
-        max_bytes -= measure(item)
-        if max_bytes < 0:
+        size = measure(item)
+        if size > max_bytes:
+            continue
+        left_bytes -= size
+        if left_bytes < 0:
             break
         taken.append(item)
     return taken
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -85,6 +85,14 @@
         decode_server("i-1", json.dumps(ENTRY | changes).encode())
 
 
+# Guards against an id that ends each request for which its server is chosen: it goes
+# into a header.
+@pytest.mark.parametrize("server_id", ["i-\u4e2d", "i-1\r\nX-Tenant: a", "i-\x00", "é"])
+def test_server_id_that_cannot_stand_in_a_header_is_rejected(server_id):
+    with pytest.raises(ValueError):
+        decode_server(server_id, json.dumps(ENTRY).encode())
+
+
 # Guards against numbers that overflow where they are used: in the hello of a router, in
 # a division, or in the comparison with an infinite float.
 @pytest.mark.parametrize("name", ["slots", "coldLeftMs", "born"])
--- a/tests/test_router/test_decoding.py
+++ b/tests/test_router/test_decoding.py
@@ -9,7 +9,7 @@
 from bronzesail.router.crashing_parts import PartReport
 from bronzesail.router.decoding import decode_datagram, decode_json
 from bronzesail.router.directory import Listing
-from bronzesail.router.messages import Hello
+from bronzesail.router.messages import Hello, select_leaving
 
 DEPTH = 4_000
 
@@ -28,3 +28,10 @@
     for encoded in (b"\x91" * DEPTH, b"\x81\xa5later" + b"\x91" * DEPTH):
         with pytest.raises(ValueError):
             decode_datagram(encoded, decoder)
+
+
+# Guards against an entry of another writer with a long id, which kept all that came
+# after it out of the hellos.
+def test_an_item_that_is_too_large_for_a_hello_does_not_keep_others_out():
+    leaving = {"x" * 200: 1, "a": 2, "b": 3}
+    assert select_leaving(leaving) == {"a": 2, "b": 3}
