router: the version of a server is checked again once the connection is open

An entry that changed its version meanwhile was not looked at again, so that a stream went on at another version, or counted as begun by the version before.

Change: before a request is written, the newest entry must have the version of the one that was chosen, and a stream that goes on must not meet a new doubt. The version of a stream that begins is that of the newest entry.

test_the_version_is_checked_once_the_connection_is_open and test_watchers_are_told_the_version_of_the_newest_entry failed before. A condition of `ServerLinks` has a name now.

--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -331,8 +331,10 @@
             self._services.placement.note_assignment_ended(server.id)
         if connection is None:
             return False
-        if not self._services.is_available(server):
-            # It has withdrawn while the connection was opened.
+        if not self._services.is_available(server) or (
+            self._version is not None and self._services.lives.is_doubted(server)
+        ):
+            # It has withdrawn or started again while the connection was opened.
             self._services.pool.release(connection)
             return False
         if self._sends and not self._spend_retry():
--- a/bronzesail/router/server_links.py
+++ b/bronzesail/router/server_links.py
@@ -166,10 +166,7 @@
 
     def _notify_watchers(self, service: str) -> None:
         """Call the watchers of a service, if nothing arrives from it any more."""
-        if not self.is_cut_off(service) or any(
-            self._pool.get_heard_at(server.address) > self._get_failed_at(server)
-            for server in self._directory.list_usable(service)
-        ):
+        if not self.is_cut_off(service) or not self._is_silent(service):
             return
         for watcher in list(self._watchers.get(service, ())):
             watcher()
@@ -181,9 +178,13 @@
             return False
         return not self._pool.has_idle(server.address)
 
-    def _get_failed_at(self, server: BackendServer) -> float:
-        """Return when a server last failed."""
-        return self._placement.get_load(server.id).failed_at
+    def _is_silent(self, service: str) -> bool:
+        """Whether nothing has arrived from any server of a service since it failed."""
+        return all(
+            self._pool.get_heard_at(server.address)
+            <= self._placement.get_load(server.id).failed_at
+            for server in self._directory.list_usable(service)
+        )
 
     def _find_silent_server(self, now: float) -> BackendServer | None:
         """Return a server that owes data while all servers of its service are silent.
--- a/bronzesail/router/server_lives.py
+++ b/bronzesail/router/server_lives.py
@@ -82,9 +82,14 @@
     def add_watcher(
         self, server: BackendServer, on_version: Callable[[str], None]
     ) -> None:
-        """Call `on_version` with the version of a server, now or once it is known."""
-        if not self.is_doubted(server):
-            on_version(server.version)
+        """Call `on_version` with the version of a server, now or once it is known.
+
+        A connection to the server is open, so that the newest entry is that of its
+        life; `server` may be an earlier one.
+        """
+        current = self._directory.get(server.id) or server
+        if not self.is_doubted(current):
+            on_version(current.version)
             return
         self._watchers.append(_Watcher(server, on_version))
 
--- a/bronzesail/router/services.py
+++ b/bronzesail/router/services.py
@@ -100,10 +100,11 @@
             self.log.write("directory: server replaced", server=server.id)
 
     def is_available(self, server: BackendServer) -> bool:
-        """Whether a server still accepts requests, as of now."""
+        """Whether a server still accepts requests and runs the same version."""
         current = self.directory.get(server.id)
         return (
             current is not None
+            and current.version == server.version
             and self.directory.is_usable(current)
             and self.directory.withdrawals.find_pause_end(current) is None
         )
--- a/tests/test_router/test_server_lives.py
+++ b/tests/test_router/test_server_lives.py
@@ -217,3 +217,44 @@
             assert len(backend.requests) == 3
 
     asyncio.run(run())
+
+
+# Guards against a stream that goes on at a server whose entry changes its version while
+# the connection to it is opened.
+def test_the_version_is_checked_once_the_connection_is_open(tmp_path):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            deployment.store.put("op", "config", make_configuration())
+            is_broken = asyncio.Event()
+            behave = stream_until_broken(3, is_broken)
+            first = await deployment.start_backend("a", "llm", behave)
+            router = await deployment.start_router("h1", bounds=BOUNDS)
+            app = router.app
+            await wait_until(app.is_ready)
+            stream = asyncio.create_task(deployment.send(router, "/talk/1"))
+            await wait_until(lambda: first.requests)
+            second = await deployment.start_backend("b", "llm", behave)
+            await wait_until(lambda: len(app.directory) == 2)
+            open_connection = app.pool.open
+
+            async def open_after_an_upgrade(address):
+                second.version = "v2"
+                entry = second.make_entry() | {"born": 5}
+                deployment.store.put("servers", "b", entry)
+                await wait_until(lambda: app.directory.get("b").version == "v2")
+                return await open_connection(address)
+
+            app.pool.open = open_after_an_upgrade
+            is_broken.set()
+            await stream
+            assert second.requests == []
+
+    asyncio.run(run())
+
+
+def test_watchers_are_told_the_version_of_the_newest_entry(lives):
+    versions = []
+    earlier = lives.directory.get("a")
+    lives.directory.put(make_server("a", born_ms=2, version="v2"))
+    lives.add_watcher(earlier, versions.append)
+    assert versions == ["v2"]
