router: an entry that is ignored is logged, and a changed one with its start and version

The users' DRAIN took long to trace, as an entry that is ignored left no line, and the line of a changed one told neither start nor version. test_an_entry_that_is_ignored_is_logged fails without the line.

--- a/bronzesail/router/watches.py
+++ b/bronzesail/router/watches.py
@@ -384,12 +384,22 @@
         if self._directory.is_lapsed(server.id):
             self._log.write("directory: lapsed entry renewed", server=server.id)
         if not self._directory.put(server):
+            known = self._directory.get(server.id)
+            if known is not None and known != server:
+                self._log.write(
+                    "directory: entry of an earlier life ignored",
+                    server=server.id,
+                    born_ms=server.born_ms,
+                    known_born_ms=known.born_ms,
+                )
             return False
         self._log.write(
             "directory: server changed",
             server=server.id,
             service=server.service,
             draining=server.is_draining,
+            version=server.version,
+            born_ms=server.born_ms,
         )
         return True
 
--- a/tests/test_router/test_watches.py
+++ b/tests/test_router/test_watches.py
@@ -11,10 +11,10 @@
 from bronzesail.router.store import CallLostError, StoreError
 from bronzesail.router.watches import MAX_BACKOFF, ServerWatch
 from tests.platform_standin import wait_until
-from tests.router_fakes import RecordingLog
+from tests.router_fakes import RecordingLog, make_server
 
 
-def make_row(server_id, state, version):
+def make_row(server_id, state, version, born_ms=0):
     entry = {
         "service": "s",
         "address": "10.0.0.1:80",
@@ -22,6 +22,7 @@
         "version": "v1",
         "slots": 8,
         "state": state,
+        "born": born_ms,
     }
     return Row(
         table="servers",
@@ -53,10 +54,12 @@
         return await self._take_answer()
 
 
-def make_watch(store, directory, find_retry_s=lambda failures: 0.0, heartbeat_s=1.2):
+def make_watch(
+    store, directory, find_retry_s=lambda failures: 0.0, heartbeat_s=1.2, log=None
+):
     return ServerWatch(
         store,
-        RecordingLog(),
+        log or RecordingLog(),
         lambda: True,
         lambda: None,
         find_retry_s,
@@ -155,11 +158,15 @@
 
 
 def apply_changes(directory, changes):
-    """Pass one response of the store's feed to a watch that has read the table."""
+    """Pass one response of the store's feed to a watch that has read the table.
+
+    Returns the lines of its log.
+    """
+    log = RecordingLog()
 
     async def run():
         store = ScriptedStore()
-        watch = make_watch(store, directory)
+        watch = make_watch(store, directory, log=log)
         task = asyncio.create_task(watch.run())
         store.answers.put_nowait(answer(5, make_row("a", "ready", 5)))
         store.answers.put_nowait(answer(9, *changes))
@@ -167,6 +174,7 @@
         task.cancel()
 
     asyncio.run(run())
+    return log.lines
 
 
 # Guards against a server that leaves and stays in use: the removals of a response were
@@ -188,6 +196,17 @@
     assert directory.list_ids() == []
 
 
+# Guards against an entry that is dropped without a trace: nothing told why a server
+# that left stayed in use.
+def test_an_entry_that_is_ignored_is_logged():
+    directory = Directory(lambda: 0.0)
+    directory.put(make_server("b", born_ms=5))
+    directory.note_store_restored()
+    lines = apply_changes(directory, [make_row("b", "ready", 6, born_ms=3)])
+    ignored = [f for message, f in lines if message.endswith("earlier life ignored")]
+    assert ignored == [{"server": "b", "born_ms": 3, "known_born_ms": 5}]
+
+
 def test_an_entry_that_is_written_after_its_removal_is_usable():
     directory = Directory(lambda: 0.0)
     apply_changes(directory, [remove_row("a", 6), make_row("a", "ready", 7)])
