router: the logs tell the life and the connection of a send, and how a lookup was answered

With the log lines so far a stream that is counted as of the wrong version at its beginning cannot be told from one whose version a lookup gets wrong. `request: sent` names the start of the life that the choice was made by and the age of the connection; `stream: looked up` is written for streams that are known here, too, and names its source. No logic is changed.

--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -673,6 +673,8 @@
             send=self._sends,
             server=server.id,
             version=server.version,
+            born_ms=server.born_ms,
+            connection_age_s=round(sent_at - connection.opened_at, 2),
             ending=outcome.ending.value,
             reason=outcome.reason,
             status=outcome.head.status if outcome.head else None,
--- a/bronzesail/router/stream_lookup.py
+++ b/bronzesail/router/stream_lookup.py
@@ -136,28 +136,51 @@
         """
         known = self._streams.find(request_id)
         if known is not None:
+            self._log_found(request_id, service, known, "this router")
             return known
         addresses = self._neighbourhood.rank_fleet(request_id)[:N_ASKED]
         replies = await self._ask(request_id, service, addresses)
         found = next((r.beginning for r in replies if r.beginning is not None), None)
+        source = "other routers"
         if found is None:
             views = [self._streams.make_view(service), *(r.view for r in replies)]
             only_version = combine_views(views)
             if only_version is not None:
                 found = StreamBeginning(request_id, service, only_version)
+                source = "only version"
             else:
                 found = await self._rows.find(request_id)
+                source = "store"
         if found is not None and request_id:
             self._streams.merge([found])
+        self._log_found(
+            request_id,
+            service,
+            found,
+            source,
+            asked=len(addresses),
+            replies=len(replies),
+        )
+        return found
+
+    def _log_found(
+        self,
+        request_id: str,
+        service: str,
+        found: StreamBeginning | None,
+        source: str,
+        **counts: int,
+    ) -> None:
+        """Log who began a stream, as far as known, and how this router knows."""
         self._log.write(
-            "stream: looked up at other routers",
+            "stream: looked up",
             resumes=request_id,
             service=service,
             version=None if found is None else found.version,
-            asked=len(addresses),
-            replies=len(replies),
+            age_s=None if found is None else round(found.age_s, 2),
+            source=None if found is None else source,
+            **counts,
         )
-        return found
 
     async def _ask(
         self, request_id: str, service: str, addresses: list[tuple[str, int]]
