tests: the stand-in of a backend server tells its start

`tells_start` lets a server leave it out. Servers of the router soak have entries without a start as before, since they are ready again after they were draining, which a life never is; two tests of server lives use the entry of the server's own life in place of a made-up start.

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -27,6 +27,14 @@
 # Differs between test processes, which would otherwise choose the same ports at times.
 _NETWORK = f"127.{os.getpid() % 200 + 20}.{os.getpid() // 200 % 250}"
 _ip_numbers = itertools.count(2)
+_last_born_ms = 0
+
+
+def make_born_ms():
+    """Return the Unix time in ms as the start of a life; no two are the same."""
+    global _last_born_ms
+    _last_born_ms = max(_last_born_ms + 1, time.time_ns() // 1_000_000)
+    return _last_born_ms
 
 
 async def wait_until(condition):
@@ -227,14 +235,19 @@
 class BackendStandin:
     """HTTP backend server; the coroutine `behave` responds to accepted requests.
 
-    Requests for another server are rejected with 421 and kept in `misdirected`.
+    Requests for another server are rejected with 421 and kept in `misdirected`. Calls
+    of its report are kept in `reports` only, and tell its start if `tells_start` is set.
+    Without `born_ms` the entry holds no start either.
     """
 
     def __init__(self, server_id, service, behave):
         self.id = server_id
         self.service = service
         self.version = "v1"  # Of its software.
+        self.born_ms = make_born_ms()  # Start of its current life, in Unix time.
+        self.tells_start = True
         self.requests = []
+        self.reports = []
         self.misdirected = []
         self.arrived_at = []  # Time and id of each request, accepted or not.
         self.more_headers = ()  # In all responses, those of status 421 included.
@@ -248,10 +261,11 @@
         await self._server.close()
 
     async def crash(self, down_s=0.0):
-        """End all connections, and start again at the same address after a time."""
+        """End all connections, and begin a new life at the address after a time."""
         ip, _, port = self._server.address.rpartition(":")
         await self._server.close()
         await asyncio.sleep(down_s)
+        self.born_ms = make_born_ms()
         await self._server.start(ip, int(port))
 
     @property
@@ -267,7 +281,7 @@
 
     def make_entry(self, state="ready"):
         """Return the directory entry that the server writes to the store."""
-        return {
+        entry = {
             "service": self.service,
             "address": self._server.address,
             "zone": "z1",
@@ -277,8 +291,34 @@
             "coldLeftMs": 0,
             "sequence": 1,
         }
+        return entry if self.born_ms is None else entry | {"born": self.born_ms}
+
+    async def _report(self, request, responder):
+        if request.find_header("x-expect-instance", self.id) != self.id:
+            await send_json(responder, 421, {})
+            return
+        self.reports.append(request)
+        if not self.tells_start:
+            await send_json(responder, 404, {})
+            return
+        report = {
+            "phase": "dual",
+            "models": [{"name": "m", "version": 1, "loras": []}],
+            "busy": False,
+            "sequence": 0,
+            "queued": 0,
+            "active": 0,
+            "kvUsed": 0,
+            "kvTotal": 90_000,
+            "handleIds": 0,
+        }
+        born = {} if self.born_ms is None else {"born": self.born_ms}
+        await send_json(responder, 200, report | born)
 
     async def _answer(self, request, responder):
+        if request.method == "GET" and request.path == "/report":
+            await self._report(request, responder)
+            return
         name = request.find_header("x-attempt-id")
         self.arrived_at.append((asyncio.get_running_loop().time(), name))
         headers = [("X-Attempt-Id", name), *self.more_headers]
--- a/tests/router_soak.py
+++ b/tests/router_soak.py
@@ -28,6 +28,7 @@
 from tests.platform_standin import (
     HOST_NAME,
     KEY,
+    BackendStandin,
     Deployment,
     RouterAddresses,
     echo_body,
@@ -181,11 +182,16 @@
 
     async def _start_servers(self):
         for number in range(4):
-            await self.deployment.start_backend(
-                f"e{number}", "llm", stream_events(N_EVENTS, 0.02)
-            )
+            await self._start_server(f"e{number}", "llm", stream_events(N_EVENTS, 0.02))
         for number in range(4):
-            await self.deployment.start_backend(f"p{number}", "app", echo_body)
+            await self._start_server(f"p{number}", "app", echo_body)
+
+    async def _start_server(self, name, service, behave):
+        server = BackendStandin(name, service, behave)
+        server.born_ms = None  # A life that is draining is not ready again.
+        await server.start()
+        self.deployment.backends.append(server)
+        self.deployment.store.put("servers", name, server.make_entry())
 
     def _make_configuration(self):
         configuration = make_configuration(version=self.version, prepaid=self.prepaid)
--- a/tests/server_soak.py
+++ b/tests/server_soak.py
@@ -57,15 +57,11 @@
     def __init__(self, server_id, service, on_request):
         super().__init__(server_id, service, self._serve)
         self.clock_error_s = 0.0
-        self.born_ms = int(time.time() * 1000)
         self.state = None  # Of its entry; None while it has none.
         self.leaving_since = None  # When the store has accepted that it leaves.
         self.is_busy = False  # Something is happening to it already.
         self._on_request = on_request
 
-    def make_entry(self, state="ready"):
-        return super().make_entry(state) | {"born": self.born_ms}
-
     async def start_again(self, address, version):
         """Begin a new life at an address."""
         ip, port = address
--- a/tests/test_router/test_server_lives.py
+++ b/tests/test_router/test_server_lives.py
@@ -14,7 +14,12 @@
     RENEWAL_DELAY_S,
     ServerLives,
 )
-from tests.platform_standin import Deployment, make_configuration, wait_until
+from tests.platform_standin import (
+    Deployment,
+    make_born_ms,
+    make_configuration,
+    wait_until,
+)
 from tests.router_fakes import ManualClock, make_server
 
 BOUNDS = "retryBudgetRatio = 9.0"  # The retry budget ends no stream here.
@@ -174,7 +179,7 @@
             continued = [r for r in second.requests if r.find_header("last-event-id")]
             assert continued == []
             deployment.store.remove("servers", "a")
-            deployment.store.put("servers", "b", second.make_entry() | {"born": 5})
+            deployment.store.put("servers", "b", second.make_entry())
             is_broken.set()
             await asyncio.gather(*streams)
             continued = [r for r in second.requests if r.find_header("last-event-id")]
@@ -238,8 +243,8 @@
             open_connection = app.pool.open
 
             async def open_after_an_upgrade(address):
-                second.version = "v2"
-                entry = second.make_entry() | {"born": 5}
+                second.version, second.born_ms = "v2", make_born_ms()
+                entry = second.make_entry()
                 deployment.store.put("servers", "b", entry)
                 await wait_until(lambda: app.directory.get("b").version == "v2")
                 return await open_connection(address)
