--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -236,8 +236,8 @@
     """HTTP backend server; the coroutine `behave` responds to accepted requests.
 
     Requests for another server are rejected with 421 and kept in `misdirected`. Calls
-    of its report are kept in `reports` only, and tell its start if `tells_start` is set.
-    Without `born_ms` the entry holds no start either.
+    of its report are kept in `reports` only, and tell its start if `tells_start`
+    is set. Without `born_ms` the entry holds no start either.
     """
 
     def __init__(self, server_id, service, behave):
