--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets: setup, demo, binary, test, format, schema, bench-NAME, soak, soak-router,
-# soak-server, soak-upgrade, mutants, model-check.
+# soak-server, soak-stream, soak-upgrade, mutants, model-check.
 PYTHON ?= python3.11
 VENV ?= .venv
 TEST_PROCESSES ?= 4
@@ -7,7 +7,7 @@
 RUN := $(BIN)/python -m
 
 .PHONY: setup demo binary test format schema reference soak soak-router soak-server \
-	soak-upgrade mutants model-check
+	soak-stream soak-upgrade mutants model-check
 
 setup: $(VENV)/.installed
 
@@ -65,6 +65,9 @@
 soak-server: setup
 	$(RUN) tests.server_soak --first $(SEED) --seeds $(SEEDS) $(SOAK_OPTIONS)
 
+soak-stream: setup
+	$(RUN) tests.stream_soak --first $(SEED) --seeds $(SEEDS) $(SOAK_OPTIONS)
+
 # PRODUCTION names the commit of the earlier build.
 soak-upgrade: setup
 	$(RUN) tests.upgrade_soak $(PRODUCTION) --first $(SEED) --seeds $(SEEDS)
--- a/tests/server_soak.py
+++ b/tests/server_soak.py
@@ -28,7 +28,8 @@
 DRAIN_S = 3.0  # After which no request may reach a server that leaves.
 CONTACT_S = 4.0  # After a disruption a router or the store counts as calm again.
 MAX_ENTRY_DELAY_S = 0.8  # From the start of a server until its entry is in the store.
-HEARTBEATS_S = 3.6  # Of silence, after which the entry of a server is removed.
+HEARTBEAT_S = 1.2  # Between the renewals of an entry.
+HEARTBEATS_S = 3 * HEARTBEAT_S  # Of silence, after which an entry is removed.
 MAX_JOINED_STREAMS = 2
 MAX_CLOCK_ERROR_S = 5.0  # Of a server's life; clocks may be set back meanwhile.
 N_EVENTS = 25  # Of a stream; each stands for 5 tokens.
@@ -60,11 +61,22 @@
         self.state = None  # Of its entry; None while it has none.
         self.leaving_since = None  # When the store has accepted that it leaves.
         self.is_busy = False  # Something is happening to it already.
+        self.is_renewing = True  # Its entry, which is that of its current life.
+        self.sequence = 0
         self._on_request = on_request
 
+    def make_entry(self, state="ready"):
+        self.sequence += 1
+        return super().make_entry(state) | {"sequence": self.sequence}
+
+    async def close(self):
+        self.is_renewing = False
+        await super().close()
+
     async def start_again(self, address, version):
-        """Begin a new life at an address."""
+        """Begin a new life at an address, whose entry is not written yet."""
         ip, port = address
+        self.sequence = 0
         self.version = version
         self.born_ms = int((time.time() + self.clock_error_s) * 1000)
         self.leaving_since = None
@@ -145,13 +157,25 @@
             self._drain_server, self._leave_silently, self._crash_server,
         ]  # fmt: skip
 
+    async def run(self):
+        heartbeats = asyncio.create_task(self._write_heartbeats())
+        try:
+            return await super().run()
+        finally:
+            heartbeats.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await heartbeats
+
     def _list_faults(self):
         return self._faults
 
+    def _make_server(self, name, service):
+        return Server(name, service, self._note_request)
+
     async def _start_servers(self):
         for service, letter in (("llm", "e"), ("app", "p")):
             for number in range(N_SERVERS):
-                server = Server(f"{letter}{number}", service, self._note_request)
+                server = self._make_server(f"{letter}{number}", service)
                 await server.start()
                 self.deployment.backends.append(server)
                 self._write_entry(server, "ready")
@@ -165,6 +189,17 @@
             entry = server.make_entry(state)
             self.deployment.store.put("servers", server.id, entry)
 
+    async def _write_heartbeats(self):
+        """Let the servers renew their entries in turn."""
+        while True:
+            servers = list(self.deployment.backends)
+            for server in servers:
+                await asyncio.sleep(HEARTBEAT_S / len(servers))
+                if server.is_renewing and server.state is not None:
+                    self._write_entry(server, server.state)
+            if not servers:
+                await asyncio.sleep(HEARTBEAT_S)
+
     # Callers.
 
     async def _exchange(self, reader, writer, router, path):
@@ -193,8 +228,8 @@
         except (OSError, TimeoutError, h11.RemoteProtocolError):
             return
 
-    async def _read_stream(self, reader, writer, router, stream):
-        """Request the rest of a stream; return whether the connection goes on."""
+    def _send_request(self, writer, router, stream, path="/talk/"):
+        """Request a stream, or the rest of it."""
         name = f"{stream.id}.{len(stream.tries)}"
         self._router_by_request[name] = router
         resumes = ""
@@ -207,11 +242,15 @@
             stream.tries.clear()
         stream.tries.append(name)
         writer.write(
-            f"POST /talk/{name} HTTP/1.1\r\nHost: {HOST_NAME}\r\n"
+            f"POST {path}{name} HTTP/1.1\r\nHost: {HOST_NAME}\r\n"
             f"X-Attempt-Id: {name}\r\nX-Deadline-Ms: 5000\r\n"
             f"X-Token-Counts: {PROMPT_TOKENS},{OUTPUT_TOKENS}\r\n{resumes}"
             f"Authorization: Bearer {KEY}\r\nContent-Length: 0\r\n\r\n".encode()
         )
+
+    async def _read_stream(self, reader, writer, router, stream):
+        """Request the rest of a stream; return whether the connection goes on."""
+        self._send_request(writer, router, stream)
         parser = h11.Connection(h11.CLIENT)
         parser.send(h11.Request(method="GET", target="/", headers=[("Host", "x")]))
         parser.send(h11.EndOfMessage())
@@ -325,6 +364,7 @@
         await server.start_again(address, version)
         await asyncio.sleep(self.random.uniform(0.0, MAX_ENTRY_DELAY_S))
         self._write_entry(server, "ready")
+        server.is_renewing = True
         server.is_busy = False
 
     # Disruptions of routers and of the store.
