router: the first word of the store's era is no restore

A server that starts again with a clock that has been set back writes an entry with an earlier `born`. For 5 s after a restore of the store such an entry counts as one that is back from the copy, and is ignored. A process that had just started took the first era that it learned for such a restore, so that it ignored true entries in its first seconds, and kept serving by the entry of the life before.

Only an era that rises later tells the directory of a restore. The budgets still learn of each era.

--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -160,7 +160,7 @@
         self.store = StoreClient(loop, settings, self.era, self.log)
         self.configuration = ConfigurationKeeper(self.log, self._apply_configuration)
         self.directory = Directory(loop.time)
-        self.era.subscribe(lambda _: self.directory.note_store_restored())
+        self.era.subscribe(self._note_era)
         self.placement = Placement(loop.time, settings.zone, settings.region_by_zone)
         self.neighbourhood = Neighbourhood(
             settings.host,
@@ -538,6 +538,11 @@
         for service in self.directory.list_services():
             self.line.dispatch(service)
 
+    def _note_era(self, era: int) -> None:
+        """Tell the directory of a restore; a new process only learns the era."""
+        if self.era.n_restores:
+            self.directory.note_store_restored()
+
     def _note_server_full(self, message: ServerFull) -> None:
         """Send no more requests to a brittle server than it has already."""
         server = self.directory.get(message.server_id)
