--- a/bronzesail/router/directory.py
+++ b/bronzesail/router/directory.py
@@ -171,10 +171,11 @@
         self.generation += 1
         return True
 
-    def note_renewed(self, server_id: str) -> None:
+    def note_renewed(self, server: BackendServer) -> None:
         """Record that a server has just written its entry, changed or not."""
-        if server_id in self._servers:
-            self._renewed_at[server_id] = self._now()
+        known = self._servers.get(server.id)
+        if known is not None and known.born_ms == server.born_ms:
+            self._renewed_at[server.id] = self._now()
 
     def get_started_at(self, server_id: str) -> float:
         """Return when the entry of a server's current life became known."""
--- a/bronzesail/router/watches.py
+++ b/bronzesail/router/watches.py
@@ -369,7 +369,7 @@
                 continue
             if self._put(server):
                 is_changed = True
-            self._directory.note_renewed(server.id)
+            self._directory.note_renewed(server)
         if is_changed:
             self._on_change()
 
--- a/tests/test_router/test_server_lives.py
+++ b/tests/test_router/test_server_lives.py
@@ -96,10 +96,10 @@
 
 def test_an_entry_that_was_written_after_the_loss_is_not_doubted(lives):
     lose_connections(lives)
-    lives.directory.note_renewed("a")
+    lives.directory.note_renewed(lives.directory.get("a"))
     assert is_doubted(lives)  # It may have been written before.
     lives.clock.now += RENEWAL_DELAY_S
-    lives.directory.note_renewed("a")
+    lives.directory.note_renewed(lives.directory.get("a"))
     assert not is_doubted(lives)
 
 
--- a/tests/test_router/test_watches.py
+++ b/tests/test_router/test_watches.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import json
 
 from bronzesail.model import Row, RowsAnswer, StoreVersion
@@ -207,6 +208,18 @@
     assert ignored == [{"server": "b", "born_ms": 3, "known_born_ms": 5}]
 
 
+# Guards against an entry that is believed again: an ignored one of another life counted
+# as its renewal.
+def test_an_entry_that_is_ignored_does_not_renew_the_known_one():
+    directory = Directory(lambda: 0.0)
+    directory.put(make_server("b", born_ms=5))
+    directory.note_store_restored()
+    apply_changes(directory, [make_row("b", "ready", 6, born_ms=3)])
+    assert directory.get_renewed_at("b") == -math.inf
+    apply_changes(directory, [make_row("b", "ready", 7, born_ms=5)])
+    assert directory.get_renewed_at("b") == 0.0
+
+
 def test_an_entry_that_is_written_after_its_removal_is_usable():
     directory = Directory(lambda: 0.0)
     apply_changes(directory, [remove_row("a", 6), make_row("a", "ready", 7)])
