router: servers are asked for their start before a stream uses a connection

A server that starts again under its id may run another version, and its entry is late.

Cause: the version of a stream was taken from the entry, which was believed until a connection broke. A router that had no connection to the server while it went down (H1), that had just started (H2), or whose doubt was ended by the loss of a connection to the new life (H6) counted the streams of the new life as of the version before, told the others so, and let streams of the version before go on there. Class of fault: a cached statement about a process is applied to whichever process is there now; nothing ties the two together.

Ruled out: lookups that tell another version than was recorded (H3), earlier builds (H4); neither took part in a joined stream that was traced.

Change: connections are grouped by process (ConnectionSpans: one that was opened while another one was still heard later on leads to the same process), and the process tells its start on the connection (GET /report) before a stream that may be taken up uses it. The version is that of the entry with the same start. Servers that do not tell are believed once their entry is renewed later than the connection, or after 3 s in step with the store. A stream that begins at a life whose entry has not arrived is told to others and the store at once as undetermined, and with its version once the entry arrives; take-ups wait up to 1.5 s for it. A lookup infers the only version only if the routers that would have been told have replied and were there; else the row is read first.

Conclusion: an entry is applied only to a process that something younger than the connection has confirmed.

--- a/bronzesail/platform/__init__.py
+++ b/bronzesail/platform/__init__.py
@@ -9,7 +9,7 @@
     encode_peer_request_head,
     read_request_head,
 )
-from ._servers import decode_server
+from ._servers import decode_server, decode_server_start, encode_report_request
 from ._settings import SETTINGS_PATH_VARIABLE, decode_settings
 from ._store import CONFIGURATION_ROW, SERVER_TABLE, StoreWire
 
@@ -21,9 +21,11 @@
     "StoreWire",
     "decode_configuration",
     "decode_server",
+    "decode_server_start",
     "decode_settings",
     "encode_forwarded_head",
     "encode_peer_request_head",
     "encode_refusal_head",
+    "encode_report_request",
     "read_request_head",
 ]
--- a/bronzesail/platform/_servers.py
+++ b/bronzesail/platform/_servers.py
@@ -46,3 +46,25 @@
         # "born" is the time of the server's start in milliseconds.
         born_ms=read_int(fields, "born", 0),
     )
+
+
+def encode_report_request(server: BackendServer) -> bytes:
+    """Return the request by which a model engine is asked for its state.
+
+    It takes no slot of the engine.
+    """
+    return b"GET /report HTTP/1.1\r\nHost: %b:%d\r\n\r\n" % (
+        server.ip.encode("ascii"),
+        server.port,
+    )
+
+
+def decode_server_start(report: bytes) -> int:
+    """Return the start of a server from its state, in Unix milliseconds.
+
+    Raises
+    ------
+    ValueError
+        If the state is malformed or does not hold the start.
+    """
+    return read_int(decode_object(report), "born")
--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -180,7 +180,7 @@
             self._random,
         )
         self.pool = ClientPool(loop)
-        self.lives = ServerLives(loop.time, self.pool, self.directory)
+        self.lives = ServerLives(loop, self.log, self.pool, self.directory)
         self.line = AdmissionQueue(
             self.directory, self.placement, self.limits, self.brittle, self.lives
         )
@@ -491,6 +491,7 @@
         set_state("servers_limited", self.limits.count_limited())
         set_state("services_cut_off", len(self.links.list_cut_off()))
         set_state("streams_known", self.streams.count())
+        set_state("server_starts_asked", self.lives.n_asked)
         set_state("services_brittle", self.brittle.count_brittle())
         set_state("store_era", self.era.current)
         set_state("store_restores", self.era.n_restores)
@@ -535,6 +536,7 @@
         self.limits.retain_only(self.directory.list_ids())
         self.brittle.retain_only(self.directory.list_ids())
         self._note_versions()
+        self.lives.check()
         for service in self.directory.list_services():
             self.line.dispatch(service)
 
--- a/bronzesail/router/client.py
+++ b/bronzesail/router/client.py
@@ -11,11 +11,13 @@
 import httptools
 
 from ..platform import AnswerHeadReader
+from .connection_spans import ConnectionSpans
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..model import AnswerHead
+    from .connection_spans import Span
 
 __all__ = [
     "MAX_CALL_BYTES",
@@ -73,6 +75,8 @@
         self._on_lost = on_lost
         self._on_data = on_data
         self.opened_at = 0.0
+        self.span: Span | None = None  # Of the process that it leads to.
+        self.was_paused = False
         self.transport: asyncio.Transport | None = None
         self.is_usable = True
         self.idle_since = 0.0
@@ -83,7 +87,6 @@
         self._has_head = False
         self._is_close_delimited = False
         self._is_broken = False
-        self.was_broken_off = False  # Ended by the other side while it was usable.
         self._framing_bytes = 0  # Bytes read since the last piece of a body.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -114,6 +117,11 @@
         if self.transport is not None:
             self.transport.abort()
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether an exchange is in progress."""
+        return self._sink is not None
+
     @property
     def is_closing(self) -> bool:
         """Whether the connection has ended or is being closed."""
@@ -122,6 +130,7 @@
     def pause(self) -> None:
         """Stop reading, so that TCP flow control slows the server down."""
         if self.transport is not None and not self.transport.is_closing():
+            self.was_paused = True
             self.transport.pause_reading()
 
     def resume(self) -> None:
@@ -154,7 +163,6 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report an unfinished response to its sink as broken."""
-        self.was_broken_off = self.is_usable
         self.is_usable = False
         self._on_lost(self)
         self._break("connection reset" if exc else "connection closed")
@@ -230,8 +238,7 @@
         self._heard_at: dict[tuple[str, int], float] = {}
         self._accepted_at: dict[tuple[str, int], float] = {}
         self._lost_at: dict[tuple[str, int], float] = {}
-        self._broken_at: dict[tuple[str, int], float] = {}
-        self._reopened_at: dict[tuple[str, int], float] = {}
+        self.spans = ConnectionSpans()
         self.n_opened = 0
 
     def acquire_idle(self, address: tuple[str, int]) -> Connection | None:
@@ -264,7 +271,6 @@
                     address[1],
                 )
         except (OSError, TimeoutError) as error:
-            self._broken_at[address] = self._loop.time()
             refused = isinstance(error, ConnectionRefusedError)
             raise ConnectError(
                 "refused" if refused else "failed or timed out"
@@ -272,8 +278,7 @@
         protocol.opened_at = self._loop.time()
         self._heard_at[address] = protocol.opened_at
         self._accepted_at[address] = protocol.opened_at
-        if self.get_reopened_at(address) <= self.get_broken_at(address):
-            self._reopened_at[address] = protocol.opened_at
+        self.spans.note_opened(protocol)
         if not protocol.is_closing:
             self._open.setdefault(address, set()).add(protocol)
         return protocol
@@ -310,23 +315,15 @@
         """Return when a connection to an address last ended, whoever ended it."""
         return self._lost_at.get(address, -math.inf)
 
-    def get_broken_at(self, address: tuple[str, int]) -> float:
-        """Return when an address last broke off, or did not accept, a connection."""
-        return self._broken_at.get(address, -math.inf)
-
-    def get_reopened_at(self, address: tuple[str, int]) -> float:
-        """Return when the first connection was opened after the one that broke off."""
-        return self._reopened_at.get(address, -math.inf)
-
     def _note_data(self, connection: Connection) -> None:
         """Record that data has arrived."""
-        self._heard_at[connection.address] = self._loop.time()
+        now = self._loop.time()
+        self._heard_at[connection.address] = now
+        self.spans.note_data(connection, now)
 
     def _forget(self, connection: Connection) -> None:
         """Stop tracking a connection that has ended."""
         self._lost_at[connection.address] = self._loop.time()
-        if connection.was_broken_off:
-            self._broken_at[connection.address] = self._loop.time()
         tracked = self._open.get(connection.address)
         if tracked is None:
             return
@@ -362,11 +359,10 @@
             self._heard_at,
             self._accepted_at,
             self._lost_at,
-            self._broken_at,
-            self._reopened_at,
         ):
             for address in [a for a, at in times.items() if now - at > FORGET_AFTER_S]:
                 del times[address]
+        self.spans.forget_before(now - FORGET_AFTER_S)
 
     def close(self) -> None:
         """Close every idle connection."""
--- a/bronzesail/router/directory.py
+++ b/bronzesail/router/directory.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import attrs
 
@@ -27,6 +27,12 @@
 # How long the removal of an entry is remembered; copies of the store that it is
 # restored from are some seconds old.
 REMOVED_TTL_S = 60.0
+# Longest time between two answers of the store, or of the router that follows it, while
+# the directory is up to date.
+MAX_FOLLOW_GAP_S = 2.0
+
+K = TypeVar("K")
+T = TypeVar("T")
 
 
 @attrs.frozen(kw_only=True)
@@ -81,14 +87,31 @@
         self._removed_lives: dict[str, tuple[int, float]] = {}  # Start, time by id.
         self._started_at: dict[str, float] = {}
         self._renewed_at: dict[str, float] = {}
+        # Of lives other than that of the entry: version, and when it was noted.
+        self._other_versions: dict[tuple[str, int], tuple[str, float]] = {}
+        self._noted_at = -math.inf  # When the store's version was noted last.
+        self._followed_since = -math.inf
         self.withdrawals = Withdrawals(now)
         self.generation = 0
         self.store_version = StoreVersion()
 
     def note_version(self, store_version: StoreVersion) -> None:
         """Record that the directory is complete up to a version of the store."""
+        now = self._now()
+        if now - self._noted_at > MAX_FOLLOW_GAP_S:
+            self._followed_since = now
+        self._noted_at = now
         self.store_version = max(self.store_version, store_version)
 
+    def find_followed_since(self) -> float:
+        """Return since when the directory has been following the store.
+
+        This is infinite if it does not follow the store now.
+        """
+        if self._now() - self._noted_at > MAX_FOLLOW_GAP_S:
+            return math.inf
+        return self._followed_since
+
     def make_listing(self) -> Listing:
         """Return a copy of the directory for another router."""
         now = self._now()
@@ -143,6 +166,7 @@
         """
         self._store_recovered_at = self._now()
         self._store_restored_at = self._now()
+        self._followed_since = self._now()
 
     def note_store_recovered(self) -> None:
         """Record that the store has just recovered from an outage."""
@@ -156,6 +180,7 @@
             return False
         if known is not None and known.born_ms > server.born_ms > 0:
             if self._now() - self._store_restored_at < RESTORED_ENTRY_TTL_S:
+                self._note_other_life(server)
                 return False  # The entry precedes the last start of the server.
             self.withdrawals.note_ended(server.id, known.born_ms)
         if server.is_draining and server.born_ms:
@@ -166,11 +191,20 @@
             server.version,
         ):
             self._started_at[server.id] = self._now()
+        if known is not None and known.born_ms != server.born_ms:
+            self._note_other_life(known)
         self._servers[server.id] = server
         self._replaced.discard(server.id)
         self.generation += 1
         return True
 
+    def find_version(self, server_id: str, born_ms: int) -> str | None:
+        """Return the software version of a life of a server, None if unknown."""
+        server = self._servers.get(server_id)
+        if server is not None and server.born_ms == born_ms:
+            return server.version
+        return self._other_versions.get((server_id, born_ms), (None, 0.0))[0]
+
     def note_renewed(self, server: BackendServer) -> None:
         """Record that a server has just written its entry, changed or not."""
         known = self._servers.get(server.id)
@@ -299,9 +333,21 @@
         self._renewed_at.pop(server_id, None)
         server = self._servers.pop(server_id, None)
         now = self._now()
-        for key, (_, removed_at) in list(self._removed_lives.items()):
-            if now - removed_at > REMOVED_TTL_S:
-                del self._removed_lives[key]
+        _drop_old(self._removed_lives, now)
         if server is not None:
             self._removed_lives[server_id] = (server.born_ms, now)
+            self._note_other_life(server)
         self.generation += 1
+
+    def _note_other_life(self, server: BackendServer) -> None:
+        """Remember the version of a life that the directory does not list."""
+        now = self._now()
+        _drop_old(self._other_versions, now)
+        self._other_versions[server.id, server.born_ms] = (server.version, now)
+
+
+def _drop_old(lives: dict[K, tuple[T, float]], now: float) -> None:
+    """Drop lives that ended more than `REMOVED_TTL_S` ago."""
+    for key, (_, ended_at) in list(lives.items()):
+        if now - ended_at > REMOVED_TTL_S:
+            del lives[key]
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -25,6 +25,7 @@
 from .placement import Work
 from .poison import make_fingerprint
 from .relay import Ending, Outcome, Relay, StreamState
+from .server_lives import ENTRY_DELAY_S
 from .stream_versions import UNDETERMINED
 
 if TYPE_CHECKING:
@@ -41,6 +42,7 @@
     from .client import Connection
     from .forwarding import Target
     from .services import Services
+    from .stream_versions import StreamBeginning
 
 __all__ = ["Exchange"]
 
@@ -67,6 +69,12 @@
 # Retry-After where all servers are full. It is multiplied by a random factor from a
 # range of width one half, so that callers do not retry at the same moment.
 OVERLOADED_RETRY_AFTER_S = 1.0
+# Longest wait for the version of a stream that began at a server whose entry has not
+# arrived, and the time between two looks.
+MAX_VERSION_WAIT_S = 1.5
+VERSION_RECHECK_S = 0.25
+# Retry-After of a stream that began at a server whose entry has not arrived.
+UNDETERMINED_RETRY_AFTER_S = 1.0
 # A higher age means that the server has never reported its load.
 MAX_LOAD_AGE_S = 1e6
 # Retry-After of a request with a part that crashes servers.
@@ -134,8 +142,8 @@
         self._stream: StreamState | None = None
         # Software version of the server that began the stream, once it has begun.
         self._version: str | None = None
-        self._has_begun_undetermined = False  # At a server whose version is in doubt.
         self._tried_server_ids: list[str] = []
+        self._asked_server_ids: list[str] = []  # For their starts.
         self._asked_hosts: list[str] = []  # Routers that it was forwarded to.
         self._forwarded_events = 0  # Relayed from other routers, which charge them.
         self._outcome_label = "aborted"
@@ -179,7 +187,6 @@
         finally:
             self._close_connection()
             self._settle()
-            self._note_undetermined()
             self._log_end()
 
     async def _serve(self) -> None:
@@ -282,11 +289,15 @@
         assert self._route is not None and self._head is not None
         if self._stream is None or self._head.last_event_id is None:
             return
-        beginning = await self._services.stream_lookup.find(
-            self._head.resumes or "", self._service
-        )
-        if beginning is None or beginning.version == UNDETERMINED:
+        beginning = await self._look_up_beginning(self._head.resumes or "")
+        if beginning is None:
             raise self._make_refusal_error(ResultCode.STREAM_UNKNOWN)
+        if beginning.version == UNDETERMINED:
+            raise self._make_refusal_error(
+                ResultCode.STREAM_UNKNOWN,
+                "the version that began the stream is not known yet",
+                retry_after_s=UNDETERMINED_RETRY_AFTER_S,
+            )
         if beginning.service not in [name for name, _ in self._route.services]:
             raise self._make_refusal_error(
                 ResultCode.NO_BACKEND, "the service that began the stream is not in use"
@@ -294,6 +305,25 @@
         self._set_service(beginning.service, configuration)
         self._version = beginning.version
 
+    async def _look_up_beginning(self, request_id: str) -> StreamBeginning | None:
+        """Return who began a stream, None if nobody knows.
+
+        The entry of a server that has just started is waited for, within limits.
+        """
+        find = self._services.stream_lookup.find
+        now = self._loop.time()
+        wait_s = min(MAX_VERSION_WAIT_S, (self._deadline_at - now) * MAX_WAIT_SHARE)
+        beginning = await find(request_id, self._service)
+        while (
+            beginning is not None
+            and beginning.version == UNDETERMINED
+            and beginning.age_s < ENTRY_DELAY_S
+            and self._loop.time() < now + wait_s
+        ):
+            await asyncio.sleep(VERSION_RECHECK_S)
+            beginning = await find(request_id, self._service)
+        return beginning
+
     async def _reserve(self) -> None:
         """Reserve the most tokens that the request can cost, if its account prepays."""
         assert self._head is not None
@@ -331,10 +361,10 @@
             self._services.placement.note_assignment_ended(server.id)
         if connection is None:
             return False
-        if not self._services.is_available(server) or (
-            self._version is not None and self._services.lives.is_doubted(server)
+        if not self._services.is_available(server) or not self._may_continue_at(
+            server, connection
         ):
-            # It has withdrawn or started again while the connection was opened.
+            # It has withdrawn, or started again before its entry says so.
             self._services.pool.release(connection)
             return False
         if self._sends and not self._spend_retry():
@@ -586,21 +616,71 @@
 
         The attempt ends with the request's deadline.
         """
-        connection = self._services.pool.acquire_idle(server.address)
-        if connection is not None:
-            return connection
         try:
             async with asyncio.timeout_at(self._deadline_at):
-                connection = await self._services.pool.open(server.address)
+                connection = self._services.pool.acquire_idle(server.address)
+                if connection is None:
+                    connection = await self._services.pool.open(server.address)
+                    self._services.links.note_reachable(server)
+                if self._needs_start(server, connection) and not await self._ask_start(
+                    server, connection
+                ):
+                    return None
         except TimeoutError as error:
             raise self._make_refusal_error(ResultCode.DEADLINE_PASSED) from error
         except ConnectError as error:
             self._tried_server_ids.append(server.id)
             self._services.links.note_unreachable(server, str(error))
             return None
-        self._services.links.note_reachable(server)
         return connection
 
+    def _needs_start(self, server: BackendServer, connection: Connection) -> bool:
+        """Whether the server is to be asked for its start before a stream is sent."""
+        return (
+            self._stream is not None
+            and self._is_repeatable()
+            and self._services.lives.find_version(server, connection) is None
+        )
+
+    async def _ask_start(self, server: BackendServer, connection: Connection) -> bool:
+        """Ask for the start of a server; return whether the connection can be used.
+
+        A server that does not answer is not tried again.
+        """
+        lives = self._services.lives
+        may_ask = self._engine is not None and server.born_ms
+        if not may_ask or server.id in self._asked_server_ids:
+            lives.note_silent(connection)
+            return True
+        self._asked_server_ids.append(server.id)
+
+        def on_head(head: AnswerHead) -> None:
+            self._services.note_answer_head(server, head)
+
+        if await lives.ask(server, connection, on_head):
+            return True
+        if not lives.is_identified(connection):
+            self._tried_server_ids.append(server.id)
+        return False
+
+    def _may_continue_at(self, server: BackendServer, connection: Connection) -> bool:
+        """Whether a server runs the version that the stream goes on at, if it does."""
+        if self._version is None:
+            return True
+        version = self._services.lives.find_version(server, connection)
+        if version == self._version:
+            return True
+        self._services.log.write(
+            "stream: not continued at a server of another life",
+            request=self._request_id,
+            server=server.id,
+            version=version,
+            wanted=self._version,
+        )
+        if not self._services.lives.is_doubted(server):
+            self._tried_server_ids.append(server.id)
+        return False
+
     def _spend_retry(self) -> bool:
         """Spend one retry of the service's budget; return whether one was left."""
         bounds = self._services.settings.bounds
@@ -643,7 +723,7 @@
             self._head.request_id,
             self._stream,
             on_head,
-            lambda: self._note_begun(server),
+            lambda: self._note_begun(server, connection),
             self._services.answer_memory,
         )
         self._connection = connection
@@ -660,7 +740,6 @@
             outcome = await self._wait_for_response(server, relay)
         finally:
             relay.release()
-            self._services.lives.remove_watcher(self._note_version)
             if is_waiting_for_head:
                 placement.note_response_started(server.id, unread_tokens, ticket)
             placement.note_request_ended(server.id, ticket)
@@ -686,34 +765,35 @@
         )
         return outcome
 
-    def _note_begun(self, server: BackendServer) -> None:
+    def _note_begun(self, server: BackendServer, connection: Connection) -> None:
         """Record that a server has begun to write its answer."""
+        assert self._head is not None
         self._services.crashing_parts.note_begun(self._shared_parts)
         if self._stream is None or self._version is not None:
             return
-        self._has_begun_undetermined = True
-        self._services.lives.add_watcher(server, self._note_version)
+        lives = self._services.lives
+        version = lives.find_version(server, connection)
+        if version is not None:
+            self._note_version(version)
+        elif self._is_repeatable():
+            self._services.log.write(
+                "stream: begun at a server whose version is not known",
+                request=self._request_id,
+                server=server.id,
+            )
+            self._services.stream_lookup.note_undetermined(
+                self._head.request_id, self._service
+            )
+            lives.add_watcher(server, connection, self._note_version)
 
     def _note_version(self, version: str) -> None:
         """Record the software version that has begun the stream."""
         assert self._head is not None
-        self._has_begun_undetermined = False
         self._version = version
         self._services.stream_lookup.note_begun(
             self._head.request_id, self._service, version
         )
 
-    def _note_undetermined(self) -> None:
-        """Keep a stream that broke off from going on if its version is not known."""
-        if not self._has_begun_undetermined or self._outcome_label == "ok":
-            return
-        self._services.log.write(
-            "stream: broken off before its version was known", request=self._request_id
-        )
-        self._services.stream_lookup.note_undetermined(
-            self._request_id or "", self._service
-        )
-
     def _encode_request(self, server: BackendServer) -> bytes:
         """Return the request as it is sent to a server, with the router's headers."""
         assert self._head is not None and self._route is not None
--- a/bronzesail/router/server_lives.py
+++ b/bronzesail/router/server_lives.py
@@ -1,34 +1,45 @@
-"""Tells whether the entry of a server may be that of an earlier life of it.
+"""Tells which life of a server a connection leads to, and so its software version.
 
 A server may start again under its id with another software version, which its entry
-tells some hundred milliseconds late. Its connections end with the life before, or new
-ones are refused while it is down; from then on its entry is in doubt until it is
-written again.
+tells some hundred milliseconds late. An entry is believed for a connection only once
+something that is younger than the connection has confirmed it: the server's own word
+on that connection, an entry that was written again later, or enough time in which the
+directory would have learned of a new life.
 """
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import attrs
 
 from ..model import BackendServer
+from ..platform import decode_server_start, encode_report_request
+from .client import Call, Connection
 
 if TYPE_CHECKING:
+    from ..model import AnswerHead
     from .client import ClientPool
+    from .connection_spans import Span
     from .directory import Directory
+    from .log import Log
 
-__all__ = ["ServerLives"]
+__all__ = ["ENTRY_DELAY_S", "ServerLives"]
 
-# Longest time from the first connection to a new life until its entry arrives: an
-# interval of heartbeats and the delay of an entry.
-DOUBT_S = 3.0
-# The same from the last connection to the life before, if there is none to a new one.
-# Entries of servers that have stopped are removed sooner.
-MAX_DOWN_S = 10.0
-# An entry that arrives sooner after a loss may have been written before it.
+# Longest time from the start of a life until its entry arrives: an interval of
+# heartbeats and the delay of an entry.
+ENTRY_DELAY_S = 3.0
+# An entry that arrives sooner after a connection was opened may have been written
+# before it.
 RENEWAL_DELAY_S = 1.0
+# A round trip across regions takes 60 ms; servers may be silent for a second.
+REPORT_TIMEOUT_S = 0.8
+# A stream that began at a life whose entry has not arrived by then has no version.
+MAX_WATCH_S = 10.0
+# How long a server that does not tell its start is not asked again.
+SILENT_S = 60.0
 
 
 @attrs.frozen
@@ -36,73 +47,213 @@
     """Who is told the version of a server once it is known."""
 
     server: BackendServer
+    connection: Connection
     on_version: Callable[[str], None]
+    expires_at: float
 
 
 class ServerLives:
-    """Doubts entries of servers, and tells when a doubt has ended.
+    """Knows the lives of servers, and tells their versions once they are certain.
 
     Parameters
     ----------
-    now : callable
-        Returns the seconds of a monotonic clock.
+    loop : asyncio.AbstractEventLoop
+        The loop to run on.
+    log : Log
+        Log for servers that do not tell their start.
     pool : ClientPool
         The connections to the servers.
     directory : Directory
         The entries.
+
+    Attributes
+    ----------
+    n_asked : int
+        How often a server was asked for its start.
     """
 
     def __init__(
-        self, now: Callable[[], float], pool: ClientPool, directory: Directory
+        self,
+        loop: asyncio.AbstractEventLoop,
+        log: Log,
+        pool: ClientPool,
+        directory: Directory,
     ) -> None:
-        self._now = now
+        self._loop = loop
+        self._log = log
         self._pool = pool
         self._directory = directory
         self._watchers: list[_Watcher] = []
+        self._silent_until: dict[str, float] = {}  # By service.
+        self.n_asked = 0
+
+    def find_version(self, server: BackendServer, connection: Connection) -> str | None:
+        """Return the version of the life that a connection leads to, None if unknown.
+
+        Parameters
+        ----------
+        server : BackendServer
+            The entry by which the server was chosen.
+        connection : Connection
+            A connection to its address.
+        """
+        if connection.span is None:
+            return None
+        span = connection.span.resolve()
+        current = self._directory.get(server.id)
+        if current is None:
+            return self._directory.find_version(server.id, span.born_ms or 0)
+        if span.born_ms is not None and current.born_ms:
+            return self._directory.find_version(server.id, span.born_ms)
+        alive_at = span.heard_at if connection.is_closing else self._loop.time()
+        if not self._is_confirmed(current, span, alive_at):
+            return None
+        return current.version
+
+    def _is_confirmed(self, server: BackendServer, span: Span, until: float) -> bool:
+        """Whether an entry is of the life that a span leads to, which has not told.
+
+        The life is known to have gone on until a time.
+        """
+        renewed_at = self._directory.get_renewed_at(server.id)
+        if span.since + RENEWAL_DELAY_S <= renewed_at <= until:
+            return True
+        followed_since = self._directory.find_followed_since()
+        return until - max(span.since, followed_since) >= ENTRY_DELAY_S
 
     def is_doubted(self, server: BackendServer) -> bool:
-        """Whether a server may run another software version than its entry says.
+        """Whether the newest life that was reached may not be that of the entry.
 
-        A connection that has stayed open, or an entry that was written since, shows
-        that it does not.
+        A server that was not reached yet is not doubted: it is asked once it is.
         """
-        lost_at = self._pool.get_broken_at(server.address)
-        reopened_at = self._pool.get_reopened_at(server.address)
-        is_reached = reopened_at > lost_at
-        doubt_ends_at = reopened_at + DOUBT_S if is_reached else lost_at + MAX_DOWN_S
-        if self._now() > doubt_ends_at:
+        span = self._pool.spans.find_newest(server.address)
+        if span is None:
+            return False
+        if span.born_ms is not None and server.born_ms:
+            is_later_entry = self._directory.get_started_at(server.id) > span.heard_at
+            return span.born_ms != server.born_ms and not is_later_entry
+        if not span.is_silent:
             return False
-        if self._pool.has_connection(server.address, opened_before=lost_at):
+        return not self._is_confirmed(server, span, self._loop.time())
+
+    async def ask(
+        self,
+        server: BackendServer,
+        connection: Connection,
+        on_head: Callable[[AnswerHead], None],
+    ) -> bool:
+        """Ask a server for its start on a connection that carries no request.
+
+        Returns whether the connection can still be used; it is closed otherwise.
+
+        Parameters
+        ----------
+        server : BackendServer
+            The entry by which the server was chosen.
+        connection : Connection
+            A connection to its address.
+        on_head : callable
+            Called with the head of the server's answer.
+        """
+        assert connection.span is not None
+        if self._is_silent(server):
+            self.note_silent(connection)
+            return True
+        self.n_asked += 1
+        call = Call(self._loop)
+        connection.start(encode_report_request(server), call)
+        try:
+            async with asyncio.timeout(REPORT_TIMEOUT_S):
+                head, body = await call.wait(REPORT_TIMEOUT_S)
+        except OSError as error:  # TimeoutError included.
+            if call.has_begun:
+                self._note_silent(server, connection, server.id, repr(error))
+            else:
+                self._log.write(
+                    "server: does not answer", server=server.id, error=repr(error)
+                )
             return False
-        return (
-            self._directory.get_started_at(server.id) <= lost_at
-            and self._directory.get_renewed_at(server.id) < lost_at + RENEWAL_DELAY_S
+        finally:
+            if connection.is_busy:
+                connection.close()
+        on_head(head)
+        self._read_report(server, connection, head.status, body)
+        return connection.is_usable
+
+    def note_silent(self, connection: Connection) -> None:
+        """Record that what a connection leads to cannot be asked for its start."""
+        assert connection.span is not None
+        connection.span.resolve().is_silent = True
+
+    def is_identified(self, connection: Connection) -> bool:
+        """Whether the life that a connection leads to has told its start."""
+        span = connection.span
+        return span is not None and span.resolve().born_ms is not None
+
+    def _is_silent(self, server: BackendServer) -> bool:
+        """Whether a server, or all of its service, has lately been asked in vain."""
+        now = self._loop.time()
+        return any(
+            now < self._silent_until.get(key, 0.0)
+            for key in (server.id, server.service)
+        )
+
+    def _read_report(
+        self, server: BackendServer, connection: Connection, status: int, body: bytes
+    ) -> None:
+        """Record what a server says of its start."""
+        assert connection.span is not None
+        if 400 <= status < 500:
+            # Its service does not answer such questions.
+            reason = f"status {status}"
+            self._note_silent(server, connection, server.service, reason)
+            return
+        try:
+            if status != 200:
+                raise ValueError(f"status {status}")
+            born_ms = decode_server_start(body)
+        except ValueError as error:
+            self._note_silent(server, connection, server.id, str(error))
+            return
+        connection.span.resolve().born_ms = born_ms
+        if born_ms != server.born_ms:
+            self._log.write(
+                "server: entry is of another life",
+                server=server.id,
+                born_ms=born_ms,
+                entry_born_ms=server.born_ms,
+            )
+
+    def _note_silent(
+        self, server: BackendServer, connection: Connection, key: str, reason: str
+    ) -> None:
+        """Record that a server, or its service, does not tell its start."""
+        self.note_silent(connection)
+        self._silent_until[key] = self._loop.time() + SILENT_S
+        self._log.write(
+            "server: does not tell its start", server=server.id, reason=reason
         )
 
     def add_watcher(
-        self, server: BackendServer, on_version: Callable[[str], None]
+        self,
+        server: BackendServer,
+        connection: Connection,
+        on_version: Callable[[str], None],
     ) -> None:
-        """Call `on_version` with the version of a server, now or once it is known.
+        """Call `on_version` with the version of a connection's life once it is known.
 
-        A connection to the server is open, so that the newest entry is that of its
-        life; `server` may be an earlier one.
+        Nothing is called if that takes longer than `MAX_WATCH_S`.
         """
-        current = self._directory.get(server.id) or server
-        if not self.is_doubted(current):
-            on_version(current.version)
-            return
-        self._watchers.append(_Watcher(server, on_version))
-
-    def remove_watcher(self, on_version: Callable[[str], None]) -> None:
-        """Stop calling a watcher, as its connection to the server has ended."""
-        self._watchers = [w for w in self._watchers if w.on_version != on_version]
+        expires_at = self._loop.time() + MAX_WATCH_S
+        self._watchers.append(_Watcher(server, connection, on_version, expires_at))
 
     def check(self) -> None:
         """Call the watchers whose servers' versions are known now."""
+        now = self._loop.time()
         watchers, self._watchers = self._watchers, []
         for watcher in watchers:
-            current = self._directory.get(watcher.server.id)
-            if current is None or self.is_doubted(current):
+            version = self.find_version(watcher.server, watcher.connection)
+            if version is not None:
+                watcher.on_version(version)
+            elif now < watcher.expires_at:
                 self._watchers.append(watcher)
-                continue
-            watcher.on_version(current.version)
--- a/bronzesail/router/stream_lookup.py
+++ b/bronzesail/router/stream_lookup.py
@@ -14,6 +14,7 @@
 import attrs
 
 from .messages import StreamBeginnings, StreamQuery, StreamReply
+from .store import StoreError
 from .stream_versions import UNDETERMINED, StreamBeginning, combine_views
 
 if TYPE_CHECKING:
@@ -29,8 +30,6 @@
 
 N_TOLD = 4
 N_ASKED = 8
-# As many routers that see one version only confirm it, where none knows the stream.
-MIN_CONFIRMATIONS = 3
 # A round trip across regions takes 60 ms; the rest allows for a slowed host.
 REPLY_TIMEOUT_S = 0.15
 N_SENDS = 2  # A query is repeated, since datagrams may be lost.
@@ -84,14 +83,18 @@
         self._told_services: set[str] = set()
 
     def note_begun(self, request_id: str, service: str, version: str) -> None:
-        """Record the first event of a stream; tell others if they cannot infer it."""
+        """Record which version began a stream; tell others if they cannot infer it."""
+        was_told = self._streams.find(request_id) is not None
         self._streams.note_begun(request_id, service, version)
-        if self._streams.find_only_version(service) is None:
+        if was_told or self._streams.find_only_version(service) is None:
             self._told_services.add(service)
             self._tell([StreamBeginning(request_id, service, version)])
 
     def note_undetermined(self, request_id: str, service: str) -> None:
-        """Record, here and at others, that a stream cannot go on at any version."""
+        """Record, here and at others, that the version of a stream is not known yet.
+
+        Others are told at once, as this router may end before it knows.
+        """
         self._streams.note_begun(request_id, service, UNDETERMINED)
         self._tell([StreamBeginning(request_id, service, UNDETERMINED)])
 
@@ -124,8 +127,8 @@
         """Return who began a stream; None if nobody knows.
 
         If no router knows the stream, but all agree that the service has had one
-        version only for longer than a stream can last, it was that version. Else the
-        store is asked.
+        version only for longer than a stream can last, it was that version. Else, or if
+        one of those that would have been told does not reply, the store is asked.
 
         Parameters
         ----------
@@ -135,22 +138,12 @@
             Service that the stream is to go on at.
         """
         known = self._streams.find(request_id)
-        if known is not None:
+        if known is not None and known.version != UNDETERMINED:
             self._log_found(request_id, service, known, "this router")
             return known
         addresses = self._neighbourhood.rank_fleet(request_id)[:N_ASKED]
         replies = await self._ask(request_id, service, addresses)
-        found = next((r.beginning for r in replies if r.beginning is not None), None)
-        source = "other routers"
-        if found is None:
-            views = [self._streams.make_view(service), *(r.view for r in replies)]
-            only_version = combine_views(views)
-            if only_version is not None:
-                found = StreamBeginning(request_id, service, only_version)
-                source = "only version"
-            else:
-                found = await self._rows.find(request_id)
-                source = "store"
+        found, source = await self._combine(request_id, service, known, replies)
         if found is not None and request_id:
             self._streams.merge([found])
         self._log_found(
@@ -163,6 +156,55 @@
         )
         return found
 
+    async def _combine(
+        self,
+        request_id: str,
+        service: str,
+        known: StreamBeginning | None,
+        replies: dict[tuple[str, int], StreamReply],
+    ) -> tuple[StreamBeginning | None, str]:
+        """Return who began a stream, by this router, others and the store; the source.
+
+        That nobody has noted the stream means that its version could be inferred, if
+        those are asked who would have been told otherwise.
+        """
+        told = [known, *(reply.beginning for reply in replies.values())]
+        noted = [beginning for beginning in told if beginning is not None]
+        for beginning in noted:
+            if beginning.version != UNDETERMINED:
+                return beginning, "other routers"
+        views = [self._streams.make_view(service)]
+        views += [reply.view for reply in replies.values()]
+        only_version = combine_views(views)
+        if not noted and only_version and self._are_told_asked(request_id, replies):
+            return StreamBeginning(request_id, service, only_version), "only version"
+        try:
+            row = await self._rows.find(request_id)
+        except StoreError as error:
+            self._log.write(
+                "stream: row not read", resumes=request_id, error=str(error)
+            )
+            return (noted[0] if noted else None), "other routers"
+        if row is not None:
+            return row, "store"
+        if noted:
+            return noted[0], "other routers"
+        if only_version:
+            return StreamBeginning(request_id, service, only_version), "only version"
+        return None, "store"
+
+    def _are_told_asked(
+        self, request_id: str, replies: dict[tuple[str, int], StreamReply]
+    ) -> bool:
+        """Whether all routers that are told of a stream have replied.
+
+        They must have been there when it began.
+        """
+        told = self._neighbourhood.rank_fleet(request_id)[:N_TOLD]
+        return all(
+            address in replies and replies[address].view.is_observed for address in told
+        )
+
     def _log_found(
         self,
         request_id: str,
@@ -184,10 +226,10 @@
 
     async def _ask(
         self, request_id: str, service: str, addresses: list[tuple[str, int]]
-    ) -> list[StreamReply]:
+    ) -> dict[tuple[str, int], StreamReply]:
         """Return the replies of other routers, as far as they are needed."""
         if not addresses:
-            return []
+            return {}
         query = StreamQuery(
             f"{self._incarnation}:{next(self._numbers)}", request_id, service
         )
@@ -197,31 +239,36 @@
                 for address in addresses:
                     if address not in pending.replies:
                         self._send(query, address)
-                if await self._wait_for_replies(pending, service, len(addresses)):
+                if await self._wait_for_replies(pending, service, addresses):
                     break
         finally:
             del self._pending[query.id]
-        return list(pending.replies.values())
+        return pending.replies
 
     async def _wait_for_replies(
-        self, pending: _PendingQuery, service: str, n_asked: int
+        self, pending: _PendingQuery, service: str, addresses: list[tuple[str, int]]
     ) -> bool:
         """Wait for enough replies; return False if `REPLY_TIMEOUT_S` passes first."""
         try:
             async with asyncio.timeout(REPLY_TIMEOUT_S):
-                while not self._is_decided(pending, service, n_asked):
+                while not self._is_decided(pending, service, addresses):
                     pending.changed.clear()
                     await pending.changed.wait()
         except TimeoutError:
             return False
         return True
 
-    def _is_decided(self, pending: _PendingQuery, service: str, n_asked: int) -> bool:
+    def _is_decided(
+        self, pending: _PendingQuery, service: str, addresses: list[tuple[str, int]]
+    ) -> bool:
         """Whether further replies would not change what is found."""
         replies = list(pending.replies.values())
-        if len(replies) >= n_asked or any(r.beginning is not None for r in replies):
+        noted = [r.beginning for r in replies if r.beginning is not None]
+        if len(replies) >= len(addresses) or any(
+            beginning.version != UNDETERMINED for beginning in noted
+        ):
             return True
-        if len(replies) < MIN_CONFIRMATIONS:
+        if any(address not in pending.replies for address in addresses[:N_TOLD]):
             return False
         views = [self._streams.make_view(service), *(r.view for r in replies)]
         return combine_views(views) is not None
--- a/bronzesail/router/stream_rows.py
+++ b/bronzesail/router/stream_rows.py
@@ -97,8 +97,11 @@
     async def _write_batch(self, pending: deque[StreamBeginning]) -> None:
         """Write the first pending rows of a partition; they stay if that fails."""
         batch = [pending[i] for i in range(min(len(pending), MAX_BATCH))]
+        # Of several beginnings of a stream the last one counts.
+        latest = {beginning.request_id: beginning for beginning in batch}
         writes = [
-            RowWrite(_make_key(b.request_id), msgspec.json.encode(b)) for b in batch
+            RowWrite(_make_key(b.request_id), msgspec.json.encode(b))
+            for b in latest.values()
         ]
         await self._store.transact([], writes)
         for beginning in batch:
@@ -130,21 +133,27 @@
             await self._store.transact([], [], keys[start : start + MAX_BATCH])
 
     async def find(self, request_id: str) -> StreamBeginning | None:
-        """Return who began a stream; None without a row, or if it cannot be read."""
+        """Return who began a stream; None without a row.
+
+        Raises
+        ------
+        StoreError
+            If the store did not answer in time, or the row is malformed.
+        """
         if not request_id:
             return None
         key = _make_key(request_id)
         try:
             async with asyncio.timeout(READ_TIMEOUT_S):
                 row = await self._store.read_row(key.table, key.part, key.key)
-            if row is None:
-                return None
-            return decode_json(row.value, StreamBeginning)
-        except (StoreError, TimeoutError, ValueError) as error:
-            self._log.write(
-                "stream: row not read", resumes=request_id, error=repr(error)
-            )
+        except TimeoutError as error:
+            raise StoreError("no answer in time") from error
+        if row is None:
             return None
+        try:
+            return decode_json(row.value, StreamBeginning)
+        except ValueError as error:
+            raise StoreError(f"malformed row: {error}") from error
 
     async def remove_all(self, service: str) -> None:
         """Remove the rows of a service, whichever router has written them.
--- a/bronzesail/router/stream_versions.py
+++ b/bronzesail/router/stream_versions.py
@@ -28,8 +28,8 @@
 # A stream that began longer ago is not taken up any more: callers' deadlines are half
 # as long.
 MAX_STREAM_AGE_S = 30.0
-# Stands for the version of a stream that broke off before its server's was certain. No
-# server has it, so that routers of earlier builds refuse the stream as well.
+# Stands for the version of a stream while its server's is not certain. No server has
+# it, so that routers of earlier builds refuse the stream as well.
 UNDETERMINED = ""
 MAX_BEGINNINGS = 20_000  # Above it the oldest are forgotten; 200 bytes each.
 
@@ -68,6 +68,9 @@
 
     versions: list[str]
     is_complete: bool
+    # Whether the router itself has seen the service for `MAX_STREAM_AGE_S`, so that it
+    # knows of all streams whose beginning it was told.
+    is_observed: bool = False
 
 
 @attrs.define
@@ -133,11 +136,11 @@
         since = self._now() - MAX_STREAM_AGE_S
         recent = {v for v, left_at in history.left_at.items() if left_at > since}
         recent |= history.listed
-        is_complete = history.observed_since <= since
+        is_complete = is_observed = history.observed_since <= since
         if not is_complete and history.earlier_version is not None:
             recent.add(history.earlier_version)
             is_complete = True
-        return VersionView(sorted(recent), is_complete)
+        return VersionView(sorted(recent), is_complete, is_observed)
 
     def find_only_version(self, service: str) -> str | None:
         """Return the version that began all streams which can be taken up, or None."""
@@ -149,11 +152,17 @@
         self.merge([StreamBeginning(request_id, service, version)])
 
     def merge(self, beginnings: Iterable[StreamBeginning]) -> None:
-        """Record the beginnings of streams, as other routers report them."""
+        """Record the beginnings of streams, as other routers report them.
+
+        A version takes the place of `UNDETERMINED`, never the other way round.
+        """
         now = self._now()
         for beginning in beginnings:
+            known = self._beginnings.get(beginning.request_id)
+            if known is not None and known[0].version != UNDETERMINED:
+                continue
             begun_at = now - max(0.0, beginning.age_s)
-            self._beginnings.setdefault(beginning.request_id, (beginning, begun_at))
+            self._beginnings[beginning.request_id] = (beginning, begun_at)
         self._forget_old()
 
     def find(self, request_id: str) -> StreamBeginning | None:
--- a/tests/test_router/test_watches.py
+++ b/tests/test_router/test_watches.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import json
+import math
 
 from bronzesail.model import Row, RowsAnswer, StoreVersion
 from bronzesail.platform import decode_server
