router: the store's row goes before what could be inferred of a stream

The check whether those that would have been told have replied was true where there was nobody to ask, and could not see that they had ended meanwhile.

The row is read before a version is inferred. While the store does not answer, it is inferred only if all routers that would have been told have replied and have been there. A version that differs from the only one is always told.

--- a/bronzesail/router/stream_lookup.py
+++ b/bronzesail/router/stream_lookup.py
@@ -86,7 +86,7 @@
         """Record which version began a stream; tell others if they cannot infer it."""
         was_told = self._streams.find(request_id) is not None
         self._streams.note_begun(request_id, service, version)
-        if was_told or self._streams.find_only_version(service) is None:
+        if was_told or self._streams.find_only_version(service) != version:
             self._told_services.add(service)
             self._tell([StreamBeginning(request_id, service, version)])
 
@@ -127,8 +127,8 @@
         """Return who began a stream; None if nobody knows.
 
         If no router knows the stream, but all agree that the service has had one
-        version only for longer than a stream can last, it was that version. Else, or if
-        one of those that would have been told does not reply, the store is asked.
+        version only for longer than a stream can last, and the store has no row of it,
+        it was that version.
 
         Parameters
         ----------
@@ -165,33 +165,33 @@
     ) -> tuple[StreamBeginning | None, str]:
         """Return who began a stream, by this router, others and the store; the source.
 
-        That nobody has noted the stream means that its version could be inferred, if
-        those are asked who would have been told otherwise.
+        That nobody has noted a stream means that its version can be inferred. Those who
+        were told may have ended meanwhile, so that the store has the last word.
         """
         told = [known, *(reply.beginning for reply in replies.values())]
         noted = [beginning for beginning in told if beginning is not None]
         for beginning in noted:
             if beginning.version != UNDETERMINED:
                 return beginning, "other routers"
-        views = [self._streams.make_view(service)]
-        views += [reply.view for reply in replies.values()]
-        only_version = combine_views(views)
-        if not noted and only_version and self._are_told_asked(request_id, replies):
-            return StreamBeginning(request_id, service, only_version), "only version"
+        may_infer = not noted
         try:
             row = await self._rows.find(request_id)
         except StoreError as error:
+            row = None
+            may_infer = may_infer and self._are_told_asked(request_id, replies)
             self._log.write(
                 "stream: row not read", resumes=request_id, error=str(error)
             )
-            return (noted[0] if noted else None), "other routers"
         if row is not None:
             return row, "store"
         if noted:
             return noted[0], "other routers"
-        if only_version:
-            return StreamBeginning(request_id, service, only_version), "only version"
-        return None, "store"
+        views = [self._streams.make_view(service)]
+        views += [reply.view for reply in replies.values()]
+        only_version = combine_views(views)
+        if only_version is None or not may_infer:
+            return None, "store"
+        return StreamBeginning(request_id, service, only_version), "only version"
 
     def _are_told_asked(
         self, request_id: str, replies: dict[tuple[str, int], StreamReply]
@@ -201,7 +201,7 @@
         They must have been there when it began.
         """
         told = self._neighbourhood.rank_fleet(request_id)[:N_TOLD]
-        return all(
+        return bool(told) and all(
             address in replies and replies[address].view.is_observed for address in told
         )
 
--- a/tests/test_router/test_stream_rows.py
+++ b/tests/test_router/test_stream_rows.py
@@ -110,6 +110,7 @@
         if self.error is not None:
             raise self.error
         assert len({k.part for k in [w.key for w in writes] + list(removals)}) == 1
+        assert len({write.key for write in writes}) == len(writes)
         for write in writes:
             self.rows[write.key] = write.value
         for key in removals:
@@ -175,3 +176,16 @@
         await run_for_a_while(rows, lambda: len(store.rows) == 1)
 
     asyncio.run(run())
+
+
+def test_of_several_beginnings_of_a_stream_the_last_one_is_written(clock):
+    async def run():
+        store = FakeStore()
+        rows = StreamRows(store, RecordingLog(), clock)
+        rows.write([StreamBeginning("r", "s", ""), StreamBeginning("r", "s", "v2")])
+        task = asyncio.create_task(rows.run())
+        await wait_until(lambda: store.rows)
+        task.cancel()
+        assert (await rows.find("r")).version == "v2"
+
+    asyncio.run(run())
