router: late data does not join two processes

Found by review: data that was read 0.2 s after a newer connection had been opened made both count as one process, while a lost packet alone delays data by 0.2 s or more, also after its sender has ended. The margin is 1 s now.

--- a/bronzesail/router/connection_spans.py
+++ b/bronzesail/router/connection_spans.py
@@ -17,9 +17,10 @@
 
 __all__ = ["ConnectionSpans", "Span"]
 
-# Data may be read this much later than it has arrived, while the process that has sent
-# it is already replaced.
-MAX_READ_DELAY_S = 0.1
+# Data may arrive this much later than it was sent, after lost packets, while the
+# process that has sent it is already replaced.
+MAX_DATA_DELAY_S = 1.0
+MAX_SPANS = 16  # Of one address; above it the oldest are forgotten.
 
 
 @attrs.define(eq=False)
@@ -75,9 +76,23 @@
 
     def note_opened(self, connection: Connection) -> None:
         """Begin a span with a new connection."""
-        span = Span(connection.opened_at, connection.opened_at)
-        connection.span = span
-        self._spans.setdefault(connection.address, []).append(span)
+        self._begin_span(connection)
+
+    def note_start(self, connection: Connection, born_ms: int) -> None:
+        """Record what the process that a connection leads to says of its start."""
+        assert connection.span is not None
+        span = connection.span.resolve()
+        if span.born_ms not in (None, born_ms):
+            span = self._begin_span(connection)  # Not the process it was taken for.
+        span.born_ms = born_ms
+
+    def _begin_span(self, connection: Connection) -> Span:
+        """Begin a span with a connection."""
+        span = connection.span = Span(connection.opened_at, connection.opened_at)
+        spans = self._spans.setdefault(connection.address, [])
+        spans.append(span)
+        del spans[:-MAX_SPANS]
+        return span
 
     def note_data(self, connection: Connection, now: float) -> None:
         """Record that data has arrived on a connection."""
@@ -89,7 +104,7 @@
         if spans and spans[-1] is span:
             return
         for later in spans[:]:
-            if not span.since < later.since <= now - MAX_READ_DELAY_S:
+            if not span.since < later.since <= now - MAX_DATA_DELAY_S:
                 continue
             if not span.contradicts(later):
                 span.absorb(later)
--- a/tests/test_router/test_connection_spans.py
+++ b/tests/test_router/test_connection_spans.py
@@ -4,7 +4,11 @@
 
 import attrs
 
-from bronzesail.router.connection_spans import MAX_READ_DELAY_S, ConnectionSpans
+from bronzesail.router.connection_spans import (
+    MAX_DATA_DELAY_S,
+    MAX_SPANS,
+    ConnectionSpans,
+)
 
 ADDRESS = ("10.0.0.1", 80)
 
@@ -28,7 +32,7 @@
 def test_a_connection_that_is_heard_after_another_one_was_opened_shares_its_process():
     spans = ConnectionSpans()
     old, new = open_connection(spans, 1.0), open_connection(spans, 5.0)
-    spans.note_data(old, 5.0 + 2 * MAX_READ_DELAY_S)
+    spans.note_data(old, 5.0 + 2 * MAX_DATA_DELAY_S)
     assert new.span.resolve() is old.span.resolve()
     assert spans.find_newest(ADDRESS).since == 1.0
 
@@ -46,7 +50,7 @@
 def test_data_that_arrived_before_the_new_connection_shows_nothing():
     spans = ConnectionSpans()
     old, new = open_connection(spans, 1.0), open_connection(spans, 5.0)
-    spans.note_data(old, 5.0 + MAX_READ_DELAY_S / 2)
+    spans.note_data(old, 5.0 + MAX_DATA_DELAY_S / 2)
     assert new.span.resolve() is not old.span.resolve()
 
 
@@ -62,7 +66,7 @@
     spans = ConnectionSpans()
     old, new = open_connection(spans, 1.0), open_connection(spans, 5.0)
     new.span.born_ms = 7
-    spans.note_data(old, 6.0)
+    spans.note_data(old, 8.0)
     assert old.span.resolve().born_ms == 7
 
 
@@ -70,10 +74,30 @@
     spans = ConnectionSpans()
     old, new = open_connection(spans, 1.0), open_connection(spans, 5.0)
     old.span.born_ms, new.span.born_ms = 6, 7
-    spans.note_data(old, 6.0)
+    spans.note_data(old, 8.0)
     assert (old.span.resolve().born_ms, new.span.resolve().born_ms) == (6, 7)
 
 
+def test_a_process_that_was_taken_for_another_one_has_a_span_of_its_own():
+    spans = ConnectionSpans()
+    old, new = open_connection(spans, 1.0), open_connection(spans, 5.0)
+    spans.note_start(old, 6)
+    spans.note_data(old, 8.0)
+    assert new.span.resolve().born_ms == 6
+    spans.note_start(new, 7)
+    assert (old.span.resolve().born_ms, new.span.resolve().born_ms) == (6, 7)
+
+
+def test_an_address_has_a_bounded_number_of_spans():
+    spans = ConnectionSpans()
+    first = open_connection(spans, 0.0)
+    for number in range(1, 2 * MAX_SPANS):
+        open_connection(spans, float(number))
+    newest = spans.find_newest(ADDRESS)
+    spans.note_data(first, 100.0)
+    assert newest.resolve() is first.span
+
+
 def test_spans_are_forgotten_once_they_are_long_over():
     spans = ConnectionSpans()
     old = open_connection(spans, 1.0)
