router: servers that do not answer the question for their start, or answer otherwise

An entry that is renewed after the connection was opened, or that no other has replaced in 3 s where entries are never renewed, is of its life, also if it has ended. - A connection that hangs was believed to go on, and an entry that arrives late after an outage counted as a renewal.

--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -83,6 +83,8 @@
 DRAINING_RETRY_AFTER_S = 0.05
 LOWEST_PRIORITY = 9  # Larger priority numbers are sent to engines as this one.
 
+MAX_QUESTIONS = 2  # For the start of a server, as an answer may end its connection.
+
 # Numbers that identify single sends in the load statistics.
 _ticket_numbers = itertools.count(1)
 
@@ -636,10 +638,12 @@
 
     def _needs_start(self, server: BackendServer, connection: Connection) -> bool:
         """Whether the server is to be asked for its start before a stream is sent."""
+        lives = self._services.lives
         return (
             self._stream is not None
             and self._is_repeatable()
-            and self._services.lives.find_version(server, connection) is None
+            and not lives.is_identified(connection)
+            and lives.find_version(server, connection, is_idle=True) is None
         )
 
     async def _ask_start(self, server: BackendServer, connection: Connection) -> bool:
@@ -647,27 +651,34 @@
 
         A server that does not answer is not tried again.
         """
-        lives = self._services.lives
+        services = self._services
         may_ask = self._engine is not None and server.born_ms
-        if not may_ask or server.id in self._asked_server_ids:
-            lives.note_silent(connection)
+        if not may_ask or self._asked_server_ids.count(server.id) >= MAX_QUESTIONS:
+            services.lives.note_silent(connection)
             return True
         self._asked_server_ids.append(server.id)
 
         def on_head(head: AnswerHead) -> None:
-            self._services.note_answer_head(server, head)
+            services.note_answer_head(server, head)
 
-        if await lives.ask(server, connection, on_head):
-            return True
-        if not lives.is_identified(connection):
+        # A question that hangs shows, like a request, that the server is out of reach.
+        ticket = next(_ticket_numbers)
+        unread_tokens = services.placement.note_sent(server.id, Work(), ticket)
+        try:
+            return await services.lives.ask(server, connection, on_head)
+        except ConnectError:
             self._tried_server_ids.append(server.id)
-        return False
+            services.note_failure(server, "no response in time")
+            return False
+        finally:
+            services.placement.note_response_started(server.id, unread_tokens, ticket)
+            services.placement.note_request_ended(server.id, ticket)
 
     def _may_continue_at(self, server: BackendServer, connection: Connection) -> bool:
         """Whether a server runs the version that the stream goes on at, if it does."""
         if self._version is None:
             return True
-        version = self._services.lives.find_version(server, connection)
+        version = self._services.lives.find_version(server, connection, is_idle=True)
         if version == self._version:
             return True
         self._services.log.write(
@@ -678,7 +689,8 @@
             wanted=self._version,
         )
         if not self._services.lives.is_doubted(server):
-            self._tried_server_ids.append(server.id)
+            # Of an earlier life of the server than its entry.
+            connection.close()
         return False
 
     def _spend_retry(self) -> bool:
--- a/bronzesail/router/server_lives.py
+++ b/bronzesail/router/server_lives.py
@@ -17,7 +17,8 @@
 
 from ..model import BackendServer
 from ..platform import decode_server_start, encode_report_request
-from .client import Call, Connection
+from .client import Call, ConnectError, Connection
+from .stream_versions import MAX_STREAM_AGE_S
 
 if TYPE_CHECKING:
     from ..model import AnswerHead
@@ -34,10 +35,10 @@
 # An entry that arrives sooner after a connection was opened may have been written
 # before it.
 RENEWAL_DELAY_S = 1.0
-# A round trip across regions takes 60 ms; servers may be silent for a second.
-REPORT_TIMEOUT_S = 0.8
-# A stream that began at a life whose entry has not arrived by then has no version.
-MAX_WATCH_S = 10.0
+# A round trip across regions takes 60 ms.
+REPORT_TIMEOUT_S = 0.5
+# Statuses of servers that have no such report.
+UNKNOWN_PATH_STATUSES = (400, 404, 405, 421, 501)
 # How long a server that does not tell its start is not asked again.
 SILENT_S = 60.0
 
@@ -87,7 +88,9 @@
         self._silent_until: dict[str, float] = {}  # By service.
         self.n_asked = 0
 
-    def find_version(self, server: BackendServer, connection: Connection) -> str | None:
+    def find_version(
+        self, server: BackendServer, connection: Connection, *, is_idle: bool = False
+    ) -> str | None:
         """Return the version of the life that a connection leads to, None if unknown.
 
         Parameters
@@ -96,30 +99,40 @@
             The entry by which the server was chosen.
         connection : Connection
             A connection to its address.
+        is_idle : bool, optional
+            Whether it is open and carries no request, so that what it leads to answers
+            the next one, if anything does.
         """
         if connection.span is None:
             return None
         span = connection.span.resolve()
         current = self._directory.get(server.id)
-        if current is None:
-            return self._directory.find_version(server.id, span.born_ms or 0)
-        if span.born_ms is not None and current.born_ms:
+        if span.born_ms is not None and (current is None or current.born_ms):
             return self._directory.find_version(server.id, span.born_ms)
-        alive_at = span.heard_at if connection.is_closing else self._loop.time()
+        if current is None:
+            return None
+        alive_at = self._loop.time() if is_idle else span.heard_at
         if not self._is_confirmed(current, span, alive_at):
             return None
         return current.version
 
-    def _is_confirmed(self, server: BackendServer, span: Span, until: float) -> bool:
-        """Whether an entry is of the life that a span leads to, which has not told.
+    def _is_confirmed(self, server: BackendServer, span: Span, alive_at: float) -> bool:
+        """Whether an entry is of the life of a span that has not told its start.
 
-        The life is known to have gone on until a time.
+        The life is known to have gone on until `alive_at`.
         """
+        followed_since = max(span.since, self._directory.find_followed_since())
+        started_at = self._directory.get_started_at(server.id)
         renewed_at = self._directory.get_renewed_at(server.id)
-        if span.since + RENEWAL_DELAY_S <= renewed_at <= until:
+        was_known = started_at < span.since
+        if renewed_at >= followed_since + RENEWAL_DELAY_S and (
+            was_known or renewed_at <= alive_at
+        ):
             return True
-        followed_since = self._directory.find_followed_since()
-        return until - max(span.since, followed_since) >= ENTRY_DELAY_S
+        if was_known and renewed_at < started_at + RENEWAL_DELAY_S:
+            # Entries are not renewed; a new life would have replaced this one.
+            alive_at = self._loop.time()
+        return alive_at - followed_since >= ENTRY_DELAY_S
 
     def is_doubted(self, server: BackendServer) -> bool:
         """Whether the newest life that was reached may not be that of the entry.
@@ -154,6 +167,11 @@
             A connection to its address.
         on_head : callable
             Called with the head of the server's answer.
+
+        Raises
+        ------
+        ConnectError
+            If the server has not answered.
         """
         assert connection.span is not None
         if self._is_silent(server):
@@ -161,24 +179,22 @@
             return True
         self.n_asked += 1
         call = Call(self._loop)
-        connection.start(encode_report_request(server), call)
+        is_usable = False
         try:
+            connection.start(encode_report_request(server), call)
             async with asyncio.timeout(REPORT_TIMEOUT_S):
                 head, body = await call.wait(REPORT_TIMEOUT_S)
+            on_head(head)
+            is_usable = self._read_report(server, connection, head, body)
         except OSError as error:  # TimeoutError included.
             if call.has_begun:
-                self._note_silent(server, connection, server.id, repr(error))
-            else:
-                self._log.write(
-                    "server: does not answer", server=server.id, error=repr(error)
-                )
-            return False
+                self._note_in_vain(server, connection, server.id, repr(error))
+                return False
+            raise ConnectError(f"no answer: {error!r}") from error
         finally:
-            if connection.is_busy:
+            if not is_usable:
                 connection.close()
-        on_head(head)
-        self._read_report(server, connection, head.status, body)
-        return connection.is_usable
+        return is_usable
 
     def note_silent(self, connection: Connection) -> None:
         """Record that what a connection leads to cannot be asked for its start."""
@@ -199,23 +215,29 @@
         )
 
     def _read_report(
-        self, server: BackendServer, connection: Connection, status: int, body: bytes
-    ) -> None:
-        """Record what a server says of its start."""
-        assert connection.span is not None
-        if 400 <= status < 500:
-            # Its service does not answer such questions.
-            reason = f"status {status}"
-            self._note_silent(server, connection, server.service, reason)
-            return
+        self,
+        server: BackendServer,
+        connection: Connection,
+        head: AnswerHead,
+        body: bytes,
+    ) -> bool:
+        """Record what a server says of its start; return whether to go on there."""
+        if head.request_id:
+            return False  # An answer to an earlier request; this one is still due.
+        if head.is_sealed or head.status in UNKNOWN_PATH_STATUSES:
+            # Servers of this service do not answer such questions.
+            self._note_in_vain(
+                server, connection, server.service, f"status {head.status}"
+            )
+            return connection.is_usable and not head.is_sealed
         try:
-            if status != 200:
-                raise ValueError(f"status {status}")
+            if head.status != 200:
+                raise ValueError(f"status {head.status}")
             born_ms = decode_server_start(body)
         except ValueError as error:
-            self._note_silent(server, connection, server.id, str(error))
-            return
-        connection.span.resolve().born_ms = born_ms
+            self._note_in_vain(server, connection, None, str(error))
+            return False
+        self._pool.spans.note_start(connection, born_ms)
         if born_ms != server.born_ms:
             self._log.write(
                 "server: entry is of another life",
@@ -223,13 +245,22 @@
                 born_ms=born_ms,
                 entry_born_ms=server.born_ms,
             )
+        return connection.is_usable
 
-    def _note_silent(
-        self, server: BackendServer, connection: Connection, key: str, reason: str
+    def _note_in_vain(
+        self,
+        server: BackendServer,
+        connection: Connection,
+        key: str | None,
+        reason: str,
     ) -> None:
-        """Record that a server, or its service, does not tell its start."""
+        """Record that a server did not tell its start.
+
+        `key` is the server or the service that is not asked again for a while, if any.
+        """
         self.note_silent(connection)
-        self._silent_until[key] = self._loop.time() + SILENT_S
+        if key is not None:
+            self._silent_until[key] = self._loop.time() + SILENT_S
         self._log.write(
             "server: does not tell its start", server=server.id, reason=reason
         )
@@ -242,14 +273,16 @@
     ) -> None:
         """Call `on_version` with the version of a connection's life once it is known.
 
-        Nothing is called if that takes longer than `MAX_WATCH_S`.
+        Nothing is called once the stream cannot be taken up any more.
         """
-        expires_at = self._loop.time() + MAX_WATCH_S
+        expires_at = self._loop.time() + MAX_STREAM_AGE_S
         self._watchers.append(_Watcher(server, connection, on_version, expires_at))
 
     def check(self) -> None:
         """Call the watchers whose servers' versions are known now."""
         now = self._loop.time()
+        for key in [key for key, until in self._silent_until.items() if until < now]:
+            del self._silent_until[key]
         watchers, self._watchers = self._watchers, []
         for watcher in watchers:
             version = self.find_version(watcher.server, watcher.connection)
--- a/tests/test_router/test_server_lives.py
+++ b/tests/test_router/test_server_lives.py
@@ -13,10 +13,10 @@
 from bronzesail.router.directory import Directory
 from bronzesail.router.server_lives import (
     ENTRY_DELAY_S,
-    MAX_WATCH_S,
     RENEWAL_DELAY_S,
     ServerLives,
 )
+from bronzesail.router.stream_versions import MAX_STREAM_AGE_S
 from tests.platform_standin import (
     Deployment,
     make_born_ms,
@@ -79,7 +79,8 @@
         return connection
 
     def find_version(self, connection):
-        return self.lives.find_version(self.entry, connection)
+        is_idle = not connection.is_closing
+        return self.lives.find_version(self.entry, connection, is_idle=is_idle)
 
     def is_doubted(self):
         return self.lives.is_doubted(self.entry)
@@ -149,15 +150,54 @@
     assert lives.find_version(connection) is None
 
 
-# The entry may be that of the next life.
-def test_an_entry_is_not_believed_for_a_connection_that_ended_before(lives):
+def test_an_entry_is_not_believed_for_a_connection_that_ended_before_it(lives):
     connection = lives.open_connection()
-    lives.follow_store(1.0)
+    lives.follow_store(0.5)
     connection.is_closing = True
+    lives.put_entry(AGAIN, "v2")  # It may be that of the next life.
     lives.follow_store(ENTRY_DELAY_S)
     assert lives.find_version(connection) is None
 
 
+# Streams whose callers had left were refused for good where servers are silent (LOST).
+def test_an_entry_that_is_renewed_after_the_connection_ended_is_of_its_life(lives):
+    connection = lives.open_connection()
+    connection.is_closing = True
+    assert lives.find_version(connection) is None
+    lives.follow_store(RENEWAL_DELAY_S)
+    lives.directory.note_renewed(lives.entry)
+    assert lives.find_version(connection) == "v1"
+
+
+def test_an_entry_that_is_never_renewed_is_of_the_life_that_no_other_replaced(lives):
+    connection = lives.open_connection()
+    connection.is_closing = True
+    lives.follow_store(ENTRY_DELAY_S)
+    assert lives.find_version(connection) == "v1"
+
+
+# The first answer of the store after an outage may hold what was written before.
+def test_an_entry_that_arrives_late_is_not_taken_for_a_renewal(lives):
+    connection = lives.open_connection()
+    lives.clock.now += 10 * RENEWAL_DELAY_S
+    lives.directory.note_version(StoreVersion())
+    lives.directory.note_renewed(lives.entry)
+    assert lives.find_version(connection) is None
+
+
+# A connection that is cut gives no sign of its end.
+def test_a_stream_on_a_connection_that_hangs_is_not_of_the_next_life(lives):
+    versions = []
+    connection = lives.open_connection()
+    lives.lives.add_watcher(lives.entry, connection, versions.append)
+    lives.follow_store(1.5)
+    lives.put_entry(AGAIN, "v2")
+    lives.directory.note_renewed(lives.entry)
+    lives.follow_store(ENTRY_DELAY_S)
+    lives.lives.check()
+    assert versions == []
+
+
 def test_a_server_that_was_not_reached_is_not_doubted(lives):
     assert not lives.is_doubted()
 
@@ -179,7 +219,7 @@
     versions = []
     connection = lives.open_connection(AGAIN)
     lives.lives.add_watcher(lives.entry, connection, versions.append)
-    lives.clock.now += MAX_WATCH_S
+    lives.clock.now += MAX_STREAM_AGE_S
     lives.lives.check()
     lives.put_entry(AGAIN, "v2")
     lives.lives.check()
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -59,7 +59,8 @@
 
 LIFE_TESTS = "tests/test_router/test_server_lives.py"
 SPAN_TESTS = "tests/test_router/test_connection_spans.py"
-RESTARTED_TESTS = "tests/test_router/test_restarted_servers.py"
+LOOKUP_TESTS = "tests/test_router/test_stream_lookup.py"
+START_TESTS = "tests/test_router/test_server_starts.py"
 VERSION_TESTS = "tests/test_router/test_stream_versions.py"
 CUT_TESTS = "tests/test_router/test_cut_from_servers.py"
 BRITTLE_TESTS = "tests/test_router/test_brittle_servers.py"
@@ -89,7 +90,7 @@
         "bronzesail/router/stream_lookup.py",
         "        self._tell([StreamBeginning(request_id, service, UNDETERMINED)])\n",
         "",
-        LIFE_TESTS,
+        LOOKUP_TESTS,
     ),
     Mutant(
         "no stream goes on at another life than the entry's",
@@ -120,11 +121,39 @@
         LIFE_TESTS,
     ),
     Mutant(
-        "the store is asked if a router that would know has not replied",
+        "nothing is inferred while neither store nor routers can tell",
+        "bronzesail/router/stream_lookup.py",
+        "may_infer and self._are_told_asked(request_id, replies)",
+        "may_infer",
+        LOOKUP_TESTS,
+    ),
+    Mutant(
+        "the row of a stream goes before what could be inferred",
         "bronzesail/router/stream_lookup.py",
-        "if not noted and only_version and self._are_told_asked(request_id, replies):",
-        "if not noted and only_version:",
-        RESTARTED_TESTS,
+        "        if row is not None:\n            return row",
+        "        if row is not None and noted:\n            return row",
+        LOOKUP_TESTS,
+    ),
+    Mutant(
+        "a process that was taken for another one is told apart",
+        "bronzesail/router/connection_spans.py",
+        "if span.born_ms not in (None, born_ms):",
+        "if False:",
+        SPAN_TESTS,
+    ),
+    Mutant(
+        "no answer to another request is taken for a report",
+        "bronzesail/router/server_lives.py",
+        "        if head.request_id:\n            return False",
+        "        if False:\n            return False",
+        START_TESTS,
+    ),
+    Mutant(
+        "a question that hangs is a failure of the server",
+        "bronzesail/router/exchange.py",
+        '            services.note_failure(server, "no response in time")\n',
+        "",
+        START_TESTS,
     ),
     Mutant(
         "the first era that a process learns is no restore",
