http: a connection that was just accepted does not outlive the server's close

`HttpServer.close` ended the connections whose tasks had begun; one whose task begins right after it was served on, by the next start of the server as well. The test fails before for connections that are 3 or 4 turns of the event loop old.

--- a/bronzesail/http/_server.py
+++ b/bronzesail/http/_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 
 from ._connection import Handler, ServerConnection
 from ._messages import ServerLimits
@@ -26,6 +27,7 @@
         self._limits = limits or ServerLimits()
         self._server: asyncio.Server | None = None
         self._connections: set[ServerConnection] = set()
+        self._generation = 0
         self.n_accepted = 0
         self.address = ""
 
@@ -49,7 +51,8 @@
         OSError
             If the address is in use.
         """
-        self._server = await asyncio.start_server(self._serve, host, port)
+        serve = functools.partial(self._serve, self._generation)
+        self._server = await asyncio.start_server(serve, host, port)
         name = self._server.sockets[0].getsockname()
         self.address = f"{name[0]}:{name[1]}"
 
@@ -74,14 +77,22 @@
         """Close every connection at once."""
         if self._server is not None:
             self._server.close()
+        self._generation += 1
         tasks = [connection.task for connection in self._connections]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        generation: int,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> None:
+        if generation != self._generation:
+            # It was accepted just before `close`, which has not seen it.
+            writer.transport.abort()
+            return
         self.n_accepted += 1
         connection = ServerConnection(
             reader, writer, self._limits, self._handler, self.n_accepted
--- a/tests/test_http/test_server.py
+++ b/tests/test_http/test_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 
 import pytest
 
@@ -59,3 +60,30 @@
 
     with pytest.raises(NotSentError):
         asyncio.run(call())
+
+
+# A connection whose task had not begun when the server closed was served by its next
+# start.
+@pytest.mark.parametrize("n_turns", range(8))
+def test_closing_ends_connections_that_were_just_accepted(n_turns: int) -> None:
+    async def call() -> bytes:
+        server = HttpServer(echo_length)
+        await server.start("127.0.0.1", 0)
+        ip, _, port = server.address.rpartition(":")
+        with socket.create_connection((ip, int(port))) as sock:
+            for _ in range(n_turns):
+                await asyncio.sleep(0)
+            await server.close()
+            await server.start(ip, int(port))
+            sock.setblocking(False)
+            loop = asyncio.get_running_loop()
+            try:
+                await loop.sock_sendall(sock, b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+                async with asyncio.timeout(0.5):
+                    return await loop.sock_recv(sock, 100)
+            except (ConnectionError, TimeoutError):
+                return b""
+            finally:
+                await server.close()
+
+    assert asyncio.run(call()) == b""
