demo: the added latency is a percentile of the differences

Cause: find_added_ms subtracted a percentile of the direct calls from the same percentile of the routed ones. A few slow direct calls raise only the upper percentiles of the former, so that the difference falls as the percentile rises, as in the reported 5.1, 6.6 and 3.3 ms.

Change: each call through the router is compared with the direct call made before it, and the percentile is that of the differences; a call without a whole answer is left out with its direct call.

benchmarks/path.py still reports and bounds a difference of two percentiles.

--- a/bronzesail/demo/_latency.py
+++ b/bronzesail/demo/_latency.py
@@ -33,14 +33,19 @@
     direct_s : tuple of float
         Times to the first part of direct calls, in seconds.
     answers : tuple of Answer
-        How the calls through the router ended.
+        How the calls through the router ended, each made right after the direct call
+        at the same place.
     """
 
     direct_s: tuple[float, ...]
     answers: tuple[Answer, ...]
 
     def find_added_ms(self, percent: float) -> float:
-        """Return the difference of a percentile, in milliseconds.
+        """Return a percentile of the latency that the router adds, in milliseconds.
+
+        It is that of the differences between each call through the router and the
+        direct call before it. A difference of two percentiles could fall as the
+        percentile rises.
 
         Parameters
         ----------
@@ -50,12 +55,14 @@
         Returns
         -------
         float
-            Milliseconds that the router adds.
+            Milliseconds that the router adds; 0 if no call has a whole answer.
         """
-        routed = [answer.first_part_s for answer in self.answers if answer.is_whole]
-        added_s = _find_percentile(routed, percent)
-        added_s -= _find_percentile(list(self.direct_s), percent)
-        return added_s * 1000.0
+        added_s = [
+            answer.first_part_s - direct_s
+            for direct_s, answer in zip(self.direct_s, self.answers, strict=True)
+            if answer.is_whole
+        ]
+        return _find_percentile(added_s, percent) * 1000.0
 
 
 async def measure_added_latency(
