tests: the answer of the killed router cannot end before the kill

Cause: the answer has 26 events and takes 0.43 s at 60 tokens a second. The engine stand-in makes up for up to a second that it is behind, so that if the process gets no processor time for 0.4 s before the third event is seen, all events follow at once and the answer is whole before the test kills the router: reader.is_cut is False. The request path has no fault here.

Change: EngineFaults.event_limit keeps a run of the stand-in from generating more than a number of events until it is lifted. The test sets it to 3 and lifts it after the kill. All checks are as they were; the answer is now certainly incomplete at the kill.

--- a/bronzesail/standin/_engine_scheduler.py
+++ b/bronzesail/standin/_engine_scheduler.py
@@ -22,6 +22,7 @@
 
 KEPT_REPORTS = 4096
 KEPT_ENDED_RUNS = 10_000
+EVENT_LIMIT_POLL_S = 0.01
 
 
 @attrs.define
@@ -46,6 +47,9 @@
         Time an order takes, in seconds.
     loses_next_orders : int
         Number of next orders whose answer is lost after they took effect.
+    event_limit : int
+        Number of events after which a run generates no further ones until this is
+        changed; 0 for no limit.
     """
 
     poison_marker: str = ""
@@ -56,6 +60,7 @@
     load_lag_s: float = 0.5
     order_s: float = 0.0
     loses_next_orders: int = 0
+    event_limit: int = 0
 
 
 @attrs.frozen
@@ -235,6 +240,13 @@
             next_at = max(next_at, loop.time() - 1.0) + self._find_token_time()
             await asyncio.sleep(max(0.0, next_at - loop.time()))
             await self.faults.wait_while_paused()
+            await self._wait_at_event_limit(run)
+
+    async def _wait_at_event_limit(self, run: EngineRun) -> None:
+        while True:
+            if not 0 < self.faults.event_limit <= run.n_events:
+                return
+            await asyncio.sleep(EVENT_LIMIT_POLL_S)
 
     def _find_token_time(self) -> float:
         others = (len(self._tasks) - 1) / self.speed.slots
--- a/tests/test_request/test_faults.py
+++ b/tests/test_request/test_faults.py
@@ -119,6 +119,8 @@
     async def run() -> None:
         fleet = FakeFleet()
         engine = await add_standin(fleet, "a", SLOW)
+        # Otherwise an engine may end its answer while this process gets no CPU time.
+        engine.faults.event_limit = 3
         first = await fleet.add_node("r1")
         second = await fleet.add_node("r2")
         third = await fleet.add_node("r3")
@@ -129,6 +131,7 @@
         await task
         assert reader.is_cut
         assert reader.done is None
+        engine.faults.event_limit = 0
         target = "/v1/requests/k1"
         request = make_call(third, target, method="GET", after=len(reader.texts))
         assert await reader.read(request) == 200
--- a/tests/test_standin/test_engine.py
+++ b/tests/test_standin/test_engine.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 from typing import TYPE_CHECKING, Any
 
 import pytest
@@ -22,6 +23,7 @@
     from collections.abc import Awaitable, Callable
 
 FAST = EngineSpeed(slots=2, tokens_per_s=2000.0, prefill_tokens_per_s=1e6)
+STALL_S = 0.1
 
 
 class Caller:
@@ -105,6 +107,27 @@
     run_with_engine(scenario)
 
 
+# A run that is behind schedule generates many events at once.
+def test_stalled_process_does_not_pass_the_event_limit() -> None:
+    async def scenario(engine: EngineStandin, caller: Caller) -> None:
+        engine.faults.event_limit = 3
+        answer = asyncio.create_task(caller.complete("a"))
+        while True:
+            n_events = engine.usage.get("a", EngineUsage()).output_tokens
+            if n_events >= 3 or answer.done():
+                break
+            await asyncio.sleep(0)
+        asyncio.get_running_loop().call_soon(time.sleep, STALL_S)
+        await asyncio.sleep(STALL_S)
+        assert engine.usage["a"].output_tokens == 3
+        assert not answer.done()
+        engine.faults.event_limit = 0
+        _, text, _ = read_events((await answer)[1])
+        assert text == make_answer_text("a", 20)
+
+    run_with_engine(scenario)
+
+
 def test_fenced_id_never_starts() -> None:
     async def scenario(engine: EngineStandin, caller: Caller) -> None:
         status = await caller.ask("POST", "/v1/completions/a/fence")
