router: a reservation is transferred with a request that is forwarded

Cause: the forwarding router kept its reservation of the request, and the next router reserved the whole prompt and output again. Where all tokens of the account were granted and reserved it refused the stream at once; the account had paid for the tokens twice.

Change: what the request has used is settled, and the rest of its reservation goes to the other router in a transfer of tokens that names the request, before the request does. That router adopts it: it reserves nothing, and charges the events only if the prompt has been charged. The tokens stay spent at the sender and count once at the receiver, so that a lost datagram or a dead router can lose tokens but never spends any twice. Tokens that no request claims within 2 s are free there. If the request comes back to be sent from here, it reserves again.

test_a_stream_goes_on_at_another_router_if_its_account_is_granted_out failed before: the stream was cut.

--- a/bronzesail/router/budget.py
+++ b/bronzesail/router/budget.py
@@ -64,6 +64,9 @@
 OWN_AHEAD_S = 2.0
 # The largest share of the tokens available in the store that one refill takes.
 REFILL_SHARE = 0.5
+# How long tokens stay reserved for a request that another router forwards, until it
+# arrives; it follows within a round trip.
+FORWARDED_WAIT_S = 2.0
 
 
 class BudgetBook:
@@ -131,6 +134,8 @@
         self.is_closed = False
         # Smallest share of the free tokens that a limit allows to be spent.
         self.min_limit_share = 0.0
+        # Tokens reserved for requests that other routers forward, and until when.
+        self._forwarded: dict[tuple[str, str], tuple[int, float]] = {}
 
     def set_prepaid(self, prepaid: dict[str, int]) -> None:
         """Set the prepaid tokens of each account from a new configuration."""
@@ -291,6 +296,56 @@
         # The whole reservation was counted as demand; subtract the unused part.
         self._lower_demand(account, reserved - used)
 
+    def transfer_reservation(self, account: str, reserved: int, used: int) -> int:
+        """Settle what a request has used and transfer the rest of its reservation.
+
+        Returns
+        -------
+        int
+            The tokens transferred.
+        """
+        holding = self.get_holding(account)
+        used = min(used, reserved)
+        tokens = reserved - used
+        holding.reserved -= reserved
+        holding.settled += used
+        holding.transferred += tokens
+        self._lower_demand(account, tokens)
+        return tokens
+
+    def receive_reservation(self, account: str, tokens: int, request_id: str) -> None:
+        """Add tokens that another router has reserved for a request it forwards."""
+        self.receive(account, tokens)
+        self._add_demand(account, tokens)
+        self.get_holding(account).reserved += tokens
+        earlier, _ = self._forwarded.get((account, request_id), (0, 0.0))
+        until = self.now() + FORWARDED_WAIT_S
+        self._forwarded[account, request_id] = (earlier + tokens, until)
+
+    def claim_reservation(self, account: str, request_id: str) -> int:
+        """Return the tokens that were received with a reservation for a request."""
+        tokens, _ = self._forwarded.pop((account, request_id), (0, 0.0))
+        return tokens
+
+    def release_unclaimed(self) -> dict[tuple[str, str], int]:
+        """Release the tokens reserved for requests that have not arrived in time.
+
+        Returns
+        -------
+        dict
+            The tokens released, by account and request id.
+        """
+        now = self.now()
+        late = {
+            key: tokens
+            for key, (tokens, until) in self._forwarded.items()
+            if until <= now
+        }
+        for (account, request_id), tokens in late.items():
+            del self._forwarded[account, request_id]
+            self.settle(account, tokens, 0)
+        return late
+
     def transfer(self, account: str, want: int, least: int = 1) -> int:
         """Transfer tokens to another router and return how many.
 
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -131,6 +131,7 @@
         self._fingerprint = ""
         self._reserved_tokens = 0
         self._charged_tokens = 0
+        self._is_prompt_charged = False  # By the router that has forwarded it.
         self._stream: StreamState | None = None
         # Software version of the server that began the stream, once it has begun.
         self._version: str | None = None
@@ -300,8 +301,9 @@
         account = self._account
         if account is None or account.prepaid_tokens is None:
             return
-        tokens = self._head.max_tokens
-        if tokens == 0:
+        self._claim_reservation()
+        tokens = self._head.max_tokens - self._charged_tokens
+        if tokens <= 0 or self._reserved_tokens:
             return
         max_wait_s = (self._deadline_at - self._loop.time()) * MAX_WAIT_SHARE
         asked_at = self._loop.time()
@@ -322,6 +324,7 @@
         self._refuse_if_quarantined()
         if await self._forward_if_cut_off():
             return True
+        await self._reserve()  # Again, if the tokens were transferred.
         server = await self._choose_server()
         try:
             self._refuse_if_quarantined()
@@ -362,6 +365,8 @@
                 return False
             target, connection = found
             self._asked_hosts.append(target.host)
+            self._connection = connection
+            await self._transfer_reservation(target)
             outcome = await self._exchange_with_peer(target, connection)
             if self._process_peer_outcome(outcome):
                 return True
@@ -963,15 +968,47 @@
         if connection is not None:
             connection.close()
 
+    def _claim_reservation(self) -> None:
+        """Take over the tokens that the forwarding router has transferred, if any."""
+        assert self._account is not None and self._head is not None
+        if self._head.earlier_sends is None:
+            return
+        tokens = self._services.book.claim_reservation(
+            self._account.name, self._head.request_id
+        )
+        if tokens:
+            # Late ones are settled with those that were reserved here meanwhile.
+            self._reserved_tokens += tokens
+            self._is_prompt_charged = tokens < self._head.max_tokens
+
+    async def _transfer_reservation(self, target: Target) -> None:
+        """Charge the tokens used and transfer the rest to the router asked next."""
+        if not self._reserved_tokens:
+            return
+        assert self._account is not None and self._head is not None
+        account, request_id = self._account.name, self._head.request_id
+        used = self._compute_charge() - self._charged_tokens
+        tokens = self._services.book.transfer_reservation(
+            account, self._reserved_tokens, used
+        )
+        self._reserved_tokens = 0
+        self._charged_tokens += used
+        if tokens:
+            await self._services.forwarder.transfer_reservation(
+                target, account, tokens, request_id
+            )
+
     def _settle(self) -> None:
         """Charge the tokens used and release the rest of the reservation."""
-        if not self._reserved_tokens or self._account is None or self._head is None:
+        if self._account is None or self._head is None:
             return
-        self._charged_tokens = self._compute_charge()
-        self._services.book.settle(
-            self._account.name, self._reserved_tokens, self._charged_tokens
-        )
+        self._claim_reservation()  # If it was refused before it reserved any.
+        if not self._reserved_tokens:
+            return
+        used = self._compute_charge() - self._charged_tokens
+        self._services.book.settle(self._account.name, self._reserved_tokens, used)
         self._reserved_tokens = 0
+        self._charged_tokens += used
         self._services.desk.serve_waiters()
 
     def _compute_charge(self) -> int:
@@ -979,7 +1016,7 @@
 
         The charge covers the prompt and the events relayed to the caller. A request
         without any response is free, unless its caller closed the connection after it
-        was sent to a server.
+        was sent to a server. What another router has charged is not part of it.
         """
         assert self._head is not None
         events = self._stream.events if self._stream else 0
@@ -988,7 +1025,8 @@
         if not events and self._outcome_label != "ok" and not was_abandoned:
             return 0
         tokens_per_event = self._engine.tokens_per_event if self._engine else 0
-        return self._head.prompt_tokens + min(
+        prompt_tokens = 0 if self._is_prompt_charged else self._head.prompt_tokens
+        return prompt_tokens + min(
             self._head.max_output_tokens, events * tokens_per_event
         )
 
--- a/bronzesail/router/forwarding.py
+++ b/bronzesail/router/forwarding.py
@@ -2,7 +2,8 @@
 
 The request goes to the other router's address for callers, as its caller sent it. That
 router authenticates, reserves, sends and charges like for any request, and does not
-forward it again. It is told how often the request was sent to a server before.
+forward it again. It is told how often the request was sent to a server before. Tokens
+that are reserved for the request are transferred to it beforehand.
 """
 
 from __future__ import annotations
@@ -35,6 +36,7 @@
 
     host: str
     address: tuple[str, int]
+    internal_address: tuple[str, int]  # Where it receives messages of routers.
 
 
 class Forwarder:
@@ -105,6 +107,25 @@
                 )
         return None
 
+    async def transfer_reservation(
+        self, target: Target, account: str, tokens: int, request_id: str
+    ) -> None:
+        """Transfer the tokens reserved for a request to the router that gets it next.
+
+        Unconfirmed ones may be lost, and that router then reserves its own.
+        """
+        is_confirmed = await self._peers.transfer_tokens(
+            target.internal_address, account, tokens, request_id=request_id
+        )
+        self._log.write(
+            "budget: reservation transferred",
+            request=request_id,
+            account=account,
+            peer=target.host,
+            tokens=tokens,
+            is_confirmed=is_confirmed,
+        )
+
     def _choose(self, service: str, excluded: Collection[str]) -> Target | None:
         """Return a random router of this region, or else of another one."""
         near, far = self._list_targets(service)
@@ -127,14 +148,14 @@
             known_hosts.add(hello.host)
             if service in hello.cut_off or not hello.callers:
                 continue
-            target = Target(hello.host, parse_address(hello.callers))
+            target = Target(hello.host, parse_address(hello.callers), peer.address)
             (near if self._is_near(hello.zone) else far).append(target)
         caller_port = self._settings.caller_address[1]
         for zone, hosts in self._neighbourhood.list_other_zones().items():
-            for host, (ip, _) in hosts.items():
+            for host, (ip, port) in hosts.items():
                 if host in known_hosts:
                     continue
-                target = Target(host, (ip, caller_port))
+                target = Target(host, (ip, caller_port), (ip, port))
                 (near if self._is_near(zone) else far).append(target)
         return near, far
 
--- a/bronzesail/router/messages.py
+++ b/bronzesail/router/messages.py
@@ -167,6 +167,8 @@
     is_leftover: bool = False  # Requested before and returned unused.
     lack: int = 0  # Result code why as many tokens cannot be had now, 0 if they may be.
     kept: int = 0  # Tokens that the sender still has unspent.
+    # Id of a request that is forwarded next and for which the tokens are reserved.
+    request: str = ""
 
 
 class TransferConfirmation(msgspec.Struct, tag="taken"):
--- a/bronzesail/router/peers.py
+++ b/bronzesail/router/peers.py
@@ -297,13 +297,17 @@
         tokens: int,
         *,
         is_leftover: bool = False,
+        request_id: str = "",
     ) -> bool:
         """Transfer tokens that were not requested; return whether it was confirmed.
 
         An unconfirmed transfer may have been received, so its tokens must not be
-        transferred to another router or spent here.
+        transferred to another router or spent here. With `request_id` they are
+        reserved for a request that is forwarded next.
         """
-        transfer = TokenTransfer(self._make_id(), "", account, tokens, is_leftover)
+        transfer = TokenTransfer(
+            self._make_id(), "", account, tokens, is_leftover, request=request_id
+        )
         confirmation = self._loop.create_future()
         self._confirmations[transfer.id] = confirmation
         encoded = msgspec.msgpack.encode(transfer)
@@ -479,6 +483,17 @@
         if transfer.id in self._received_transfers:
             return
         self._received_transfers[transfer.id] = self._loop.time()
+        if transfer.request:
+            self._book.receive_reservation(
+                transfer.account, transfer.tokens, transfer.request
+            )
+            self._log.write(
+                "budget: reservation received",
+                request=transfer.request,
+                account=transfer.account,
+                tokens=transfer.tokens,
+            )
+            return
         if transfer.is_leftover:
             self._book.receive_unused(transfer.account, transfer.tokens)
         else:
@@ -489,7 +504,21 @@
         if transfer.tokens:
             self._on_tokens()
 
+    def _release_unclaimed(self) -> None:
+        """Release tokens of requests that no router has forwarded here after all."""
+        released = self._book.release_unclaimed()
+        for (account, request_id), tokens in released.items():
+            self._log.write(
+                "budget: reservation not claimed",
+                request=request_id,
+                account=account,
+                tokens=tokens,
+            )
+        if released:
+            self._on_tokens()
+
     def _expire_old(self) -> None:
+        self._release_unclaimed()
         now = self._loop.time()
         self._neighbourhood.forget_old()
         for host, peer in list(self.by_host.items()):
--- a/tests/test_router/test_budget.py
+++ b/tests/test_router/test_budget.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bronzesail.router.budget import FULL_OVERRUN_S, BudgetBook
+from bronzesail.router.budget import FORWARDED_WAIT_S, FULL_OVERRUN_S, BudgetBook
 from bronzesail.router.budget_rows import LEASE_S, reclaim
 
 START_S = 100.0
@@ -292,3 +292,34 @@
     assert fixture.book.count_spendable("a") == limit - fixture.count_spent() + 500
     fixture.spend(fixture.book.count_spendable("a"))
     assert fixture.count_spent() + reclaim(row, fixture.time)["a"] == held + 500
+
+
+# Tokens were lost until the process ended if a forwarded request did not arrive.
+def test_a_reservation_that_no_request_claims_is_released():
+    fixture = BudgetFixture()
+    fixture.renew()
+    free = fixture.book.get_holding("a").free
+    fixture.book.receive_reservation("a", 500, "r1")
+    fixture.book.receive_reservation("a", 300, "r2")
+    assert fixture.book.get_holding("a").free == free
+    assert fixture.book.claim_reservation("a", "r2") == 300
+    assert fixture.book.release_unclaimed() == {}
+    fixture.time += FORWARDED_WAIT_S
+    assert fixture.book.release_unclaimed() == {("a", "r1"): 500}
+    assert fixture.book.get_holding("a").free == free + 500
+    assert fixture.book.claim_reservation("a", "r1") == 0
+
+
+def test_a_transferred_reservation_stays_spent_at_its_sender():
+    fixture = BudgetFixture()
+    fixture.renew()
+    fixture.book.receive("a", 500)
+    free = fixture.book.get_holding("a").free
+    assert fixture.book.try_reserve("a", 500)
+    assert fixture.book.transfer_reservation("a", 500, 120) == 380
+    holding = fixture.book.get_holding("a")
+    assert (holding.settled, holding.transferred, holding.reserved) == (120, 380, 0)
+    assert holding.free == free - 500
+    fixture.book.receive_reservation("a", 300, "r1")
+    assert fixture.book.transfer_reservation("a", 300, 900) == 0
+    assert (holding.settled, holding.transferred) == (420, 380)
--- a/tests/test_router/test_budget_machine.py
+++ b/tests/test_router/test_budget_machine.py
@@ -150,6 +150,37 @@
         if arrives and tokens and recipient in self.processes:
             self.processes[recipient].book.receive(account, tokens)
 
+    @rule(
+        origin=HOST,
+        recipient=HOST,
+        index=RESERVATION_INDEX,
+        share=st.floats(0, 1),
+        arrives=st.booleans(),
+        is_claimed=st.booleans(),
+    )
+    def forward(self, origin, recipient, index, share, arrives, is_claimed):
+        """A request is forwarded with the rest of its reservation."""
+        process = self.processes.get(origin)
+        if origin == recipient or process is None or not process.reservations:
+            return
+        account, tokens = process.reservations.pop(index % len(process.reservations))
+        used = int(tokens * share)
+        rest = process.book.transfer_reservation(account, tokens, used)
+        self.consumed_tokens[account] += used
+        other = self.processes.get(recipient)
+        if not arrives or not rest or other is None:
+            return
+        request_id = f"r{next(self.numbers)}"
+        other.book.receive_reservation(account, rest, request_id)
+        if is_claimed:
+            claimed = other.book.claim_reservation(account, request_id)
+            other.reservations.append((account, claimed))
+
+    @rule(host=HOST)
+    def release_unclaimed(self, host):
+        if host in self.processes:
+            self.processes[host].book.release_unclaimed()
+
     @rule(host=HOST, modes=MODES)
     def stop(self, host, modes):
         """A planned stop: the process returns its tokens and ends."""
@@ -254,6 +285,15 @@
         "transfer": lambda: machine.transfer(
             host, generator.choice(HOSTS), account, generator.randint(10, 200), True
         ),
+        "forward": lambda: machine.forward(
+            host,
+            generator.choice(HOSTS),
+            generator.randint(0, 99),
+            generator.choice((0, 0.5)),
+            generator.random() < 0.9,
+            generator.random() < 0.7,
+        ),
+        "release": lambda: machine.release_unclaimed(host),
         "kill": lambda: machine.kill(host),
         "start": lambda: machine.start(host, []),
         "load": lambda: machine.load(host),
@@ -266,7 +306,7 @@
         "configure": lambda: machine.take_configuration(host),
     }
     restores = 5 if restoring else 0
-    weights = (400, 80, 240, 100, 60, 15, 40, 40, 10, 20, restores, 5, 10)
+    weights = (400, 80, 240, 100, 60, 20, 10, 15, 40, 40, 10, 20, restores, 5, 10)
     steps[generator.choices(list(steps), weights)[0]]()
 
 
--- a/tests/test_router/test_cut_from_servers.py
+++ b/tests/test_router/test_cut_from_servers.py
@@ -85,9 +85,9 @@
     )
 
 
-async def start_fleet(deployment, behave_stream=None):
+async def start_fleet(deployment, behave_stream=None, prepaid=100_000):
     """Start routers and servers of both services; return the servers."""
-    deployment.store.put("op", "config", make_configuration())
+    deployment.store.put("op", "config", make_configuration(prepaid=prepaid))
     backends = [
         await deployment.start_backend(f"p{n}", "app", echo_body)
         for n in range(N_SERVERS)
@@ -319,6 +319,112 @@
     asyncio.run(run())
 
 
+def list_holdings(deployment):
+    books = [router.app.book for router in deployment.routers]
+    return [book.holdings["acme"] for book in books if "acme" in book.holdings]
+
+
+async def send_into_a_cut(deployment, backends, counts):
+    """Cut a router off while it relays a stream; return the response of the stream."""
+    sending = asyncio.create_task(
+        deployment.send(deployment.routers[0], "/talk/1", X_Token_Counts=counts)
+    )
+    await wait_until(lambda: count_arrivals(backends) == 1)
+    await asyncio.sleep(0.7)
+    cut_off(deployment, backends, "hang", [0])
+    return await sending
+
+
+# The forwarding router kept its reservation, and the next one reserved the whole prompt
+# again: refused with 402 when the account had no tokens left (LOST).
+def test_a_stream_goes_on_at_another_router_if_its_account_is_granted_out(tmp_path):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            prompt, output, n_events = 400, 300, 8
+            backends = await start_fleet(
+                deployment,
+                stream_events(n_events, gap_s=0.2),
+                prepaid=prompt + output + 350,
+            )
+            status, _, body = await send_into_a_cut(
+                deployment, backends, f"{prompt},{output}"
+            )
+            assert status == 200
+            assert body is not None and body.count(b"id: ") == n_events
+            assert count_arrivals(backends) == 2
+            # Five tokens an event; see `make_configuration`.
+            holdings = list_holdings(deployment)
+            assert sum(h.settled for h in holdings) == prompt + 5 * n_events
+            assert all(h.reserved == 0 for h in holdings)
+
+    asyncio.run(run())
+
+
+# Tokens reserved at the other router meanwhile stayed reserved for good when the others
+# arrived late.
+@pytest.mark.parametrize("delay_s", [None, 0.8])
+def test_a_stream_goes_on_if_the_transfer_of_its_reservation_is_lost_or_late(
+    tmp_path, delay_s
+):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            prompt, n_events = 400, 10
+            backends = await start_fleet(deployment, stream_events(n_events, gap_s=0.2))
+            peers = deployment.routers[0].app.peers
+            send = peers._send
+
+            def send_transfers_late(data, address):
+                if b"gift" not in data:
+                    send(data, address)
+                elif delay_s is not None:
+                    asyncio.get_running_loop().call_later(delay_s, send, data, address)
+
+            peers._send = send_transfers_late
+            status, _, body = await send_into_a_cut(
+                deployment, backends, f"{prompt},300"
+            )
+            assert status == 200
+            assert body is not None and body.count(b"id: ") == n_events
+            await asyncio.sleep(delay_s or 0.0)
+            holdings = list_holdings(deployment)
+            n_prompts = 2 if delay_s is None else 1
+            charged = n_prompts * prompt + 5 * n_events
+            assert sum(h.settled for h in holdings) == charged
+            assert all(h.reserved == 0 for h in holdings)
+            transferred = sum(h.transferred for h in holdings)
+            received = sum(h.received for h in holdings)
+            if delay_s is None:
+                assert received < transferred
+            else:
+                assert received == transferred
+
+    asyncio.run(run())
+
+
+# The request was sent to a server without a reservation, and its tokens were free.
+def test_a_request_is_charged_here_after_its_reservation_was_transferred(tmp_path):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            await start_fleet(deployment)
+            router = deployment.routers[0]
+            for other in deployment.routers[1:]:
+                other.app.is_refusing_requests = True
+            answers = [False, True, False]
+            router.app.links.is_cut_off = lambda *_: answers.pop(0) if answers else 0
+            status, _, body = await deployment.send(
+                router, "/talk/1", X_Token_Counts="100,50"
+            )
+            assert not answers
+            assert status == 200 and body.count(b"id:") == 3
+            assert router.app.book.holdings["acme"].settled == 100 + 3 * 5
+            assert router.app.book.holdings["acme"].transferred == 150
+            await wait_until(
+                lambda: not any(h.reserved for h in list_holdings(deployment))
+            )
+
+    asyncio.run(run())
+
+
 def test_a_request_that_may_not_be_repeated_is_forwarded_once(tmp_path):
     async def run():
         async with Deployment(tmp_path) as deployment:
