--- a/tests/test_router/test_cut_from_servers.py
+++ b/tests/test_router/test_cut_from_servers.py
@@ -425,6 +425,57 @@
     asyncio.run(run())
 
 
+# Events that another router had relayed and charged were charged here as well.
+def test_events_of_a_router_that_died_are_not_charged_where_the_stream_goes_on(
+    tmp_path,
+):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            prompt, n_events = 100, 40
+            backends = await start_fleet(deployment, stream_events(n_events, gap_s=0.1))
+            configuration = make_configuration(version=2)
+            for route in configuration["routes"]:
+                route |= {"maxAttempts": 3, "timeoutMs": 15_000}
+            deployment.store.put("op", "config", configuration)
+            await wait_until(
+                lambda: all(
+                    r.app.configuration.version == 2 for r in deployment.routers
+                )
+            )
+            router = deployment.routers[0]
+            sending = asyncio.create_task(
+                deployment.send(router, "/talk/1", X_Token_Counts=f"{prompt},300")
+            )
+            await wait_until(lambda: count_arrivals(backends) == 1)
+            await asyncio.sleep(0.7)
+            [cut] = cut_off(deployment, backends, "hang", [0])
+            await wait_until(lambda: count_arrivals(backends) == 2)
+            await asyncio.sleep(0.5)
+            cut.end()
+            await wait_until(lambda: not router.app.links.list_cut_off())
+            [other] = [
+                r
+                for r in deployment.routers[1:]
+                if r.app.book.get_holding("acme").reserved
+            ]
+            other.app.abort()
+            status, _, body = await sending
+            assert status == 200
+            assert body is not None and body.count(b"id: ") == n_events
+            requests = sorted(
+                int(request.find_header("last-event-id", "0"))
+                for backend in backends
+                for request in backend.requests
+            )
+            _, first_there, first_here = requests
+            assert first_here > first_there
+            n_here = n_events - (first_here - first_there)
+            settled = router.app.book.get_holding("acme").settled
+            assert settled == prompt + 5 * n_here
+
+    asyncio.run(run())
+
+
 def test_a_request_that_may_not_be_repeated_is_forwarded_once(tmp_path):
     async def run():
         async with Deployment(tmp_path) as deployment:
