--- a/bronzesail/router/server_lives.py
+++ b/bronzesail/router/server_lives.py
@@ -85,7 +85,7 @@
         self._pool = pool
         self._directory = directory
         self._watchers: list[_Watcher] = []
-        self._silent_until: dict[str, float] = {}  # By service.
+        self._silent_until: dict[str, float] = {}  # By server id or service.
         self.n_asked = 0
 
     def find_version(
