tests: the paused router is checked to stay stopped

The listed failure (the grant was not reclaimed within 30 s, and no other router logged a suspicion) is not traced.

The test now waits until the process is stopped, and fails at once if it runs again before its grant is reclaimed; the rest is as it was. With a SIGCONT 1 s after the pause it fails with 'the paused router was resumed'.

--- a/tests/test_cmd/test_paused_router.py
+++ b/tests/test_cmd/test_paused_router.py
@@ -15,11 +15,13 @@
     read_stream,
     start_fleet,
 )
-from tools.fleet_processes import wait_until
+from tools.fleet_processes import is_stopped, wait_until
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from tools.fleet_processes import RouterProcess
+
 BUDGET = "/budgets/council/main"
 SHORT_ANSWER_TOKENS = 20
 
@@ -36,6 +38,12 @@
     return [grant["holder"] for grant in row["grants"]]
 
 
+def has_lost_grant(fleet: Fleet, paused: RouterProcess) -> bool:
+    """Return whether a paused router's grant was reclaimed; fail if it runs."""
+    assert is_stopped(paused.program.pid), "the paused router was resumed"
+    return paused.host not in find_holders(fleet)
+
+
 def test_paused_holder_is_reclaimed_and_spends_nothing_more(fleet: Fleet) -> None:
     paused = fleet.routers[1]
     call = make_call(fleet, "before-pause", SHORT_ANSWER_TOKENS)
@@ -43,8 +51,9 @@
     assert is_done
     assert paused.host in find_holders(fleet)
     paused.program.send(signal.SIGSTOP)
+    wait_until(lambda: is_stopped(paused.program.pid))
     fleet.processes.remove_host(paused.host)
-    wait_until(lambda: paused.host not in find_holders(fleet))
+    wait_until(lambda: has_lost_grant(fleet, paused))
     # Open records of the paused router are settled with the usage of the engine.
     wait_until(lambda: fetch(fleet.routers[0], BUDGET)["held_tokens"] == 0)
     row = fetch(fleet.routers[0], BUDGET)
--- a/tools/fleet_processes.py
+++ b/tools/fleet_processes.py
@@ -21,6 +21,7 @@
     "Launch",
     "Program",
     "RouterProcess",
+    "is_stopped",
     "measure_cpu_s",
     "measure_memory_bytes",
     "wait_until",
@@ -343,6 +344,23 @@
         return path
 
 
+def is_stopped(pid: int) -> bool:
+    """Return whether a process is stopped by a signal.
+
+    Parameters
+    ----------
+    pid : int
+        Process id.
+
+    Returns
+    -------
+    bool
+        False also while it has not yet handled the signal.
+    """
+    state = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()[0]
+    return state == "T"
+
+
 def measure_cpu_s(pid: int) -> float:
     """Return the processor time a process has used.
 
