--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -160,7 +160,7 @@
         self.store = StoreClient(loop, settings, self.era, self.log)
         self.configuration = ConfigurationKeeper(self.log, self._apply_configuration)
         self.directory = Directory(loop.time)
-        self.era.subscribe(lambda _: self.directory.note_store_restored())
+        self.era.subscribe(self._note_era)
         self.placement = Placement(loop.time, settings.zone, settings.region_by_zone)
         self.neighbourhood = Neighbourhood(
             settings.host,
@@ -180,7 +180,7 @@
             self._random,
         )
         self.pool = ClientPool(loop)
-        self.lives = ServerLives(loop.time, self.pool, self.directory)
+        self.lives = ServerLives(loop, self.log, self.pool, self.directory)
         self.line = AdmissionQueue(
             self.directory, self.placement, self.limits, self.brittle, self.lives
         )
@@ -491,6 +491,7 @@
         set_state("servers_limited", self.limits.count_limited())
         set_state("services_cut_off", len(self.links.list_cut_off()))
         set_state("streams_known", self.streams.count())
+        set_state("server_starts_asked", self.lives.n_asked)
         set_state("services_brittle", self.brittle.count_brittle())
         set_state("store_era", self.era.current)
         set_state("store_restores", self.era.n_restores)
@@ -535,9 +536,15 @@
         self.limits.retain_only(self.directory.list_ids())
         self.brittle.retain_only(self.directory.list_ids())
         self._note_versions()
+        self.lives.check()
         for service in self.directory.list_services():
             self.line.dispatch(service)
 
+    def _note_era(self, era: int) -> None:
+        """Tell the directory of a restore; a new process only learns the era."""
+        if self.era.n_restores:
+            self.directory.note_store_restored()
+
     def _note_server_full(self, message: ServerFull) -> None:
         """Send no more requests to a brittle server than it has already."""
         server = self.directory.get(message.server_id)
