--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -81,9 +81,8 @@
 QUARANTINE_RETRY_AFTER_S = 10.0
 # Retry-After while this router drains: another host accepts the request at once.
 DRAINING_RETRY_AFTER_S = 0.05
-LOWEST_PRIORITY = 9  # Larger priority numbers are sent to engines as this one.
-
 MAX_QUESTIONS = 2  # For the start of a server, as an answer may end its connection.
+LOWEST_PRIORITY = 9  # Larger priority numbers are sent to engines as this one.
 
 # Numbers that identify single sends in the load statistics.
 _ticket_numbers = itertools.count(1)
