router: all streams of a service are told once a second version appears

Found by reading the change: a stream whose version was undetermined at first, and known while its service had one version only, counted as if all streams of the service had been told. Once a second version appeared the earlier ones were not told, so that take-ups elsewhere would have been refused with BZ1411. The test failed before.

--- a/bronzesail/router/stream_lookup.py
+++ b/bronzesail/router/stream_lookup.py
@@ -86,8 +86,10 @@
         """Record which version began a stream; tell others if they cannot infer it."""
         was_told = self._streams.find(request_id) is not None
         self._streams.note_begun(request_id, service, version)
-        if was_told or self._streams.find_only_version(service) != version:
+        only_version = self._streams.find_only_version(service)
+        if only_version is None:
             self._told_services.add(service)
+        if was_told or only_version != version:
             self._tell([StreamBeginning(request_id, service, version)])
 
     def note_undetermined(self, request_id: str, service: str) -> None:
--- a/tests/test_router/test_stream_lookup.py
+++ b/tests/test_router/test_stream_lookup.py
@@ -136,3 +136,16 @@
     assert fleet.told == []
     fleet.lookup.note_begun("r2", SERVICE, "v2")
     assert {version for _, version in fleet.told} == {"v2"}
+
+
+# One stream that had been told counted as all of its service, so that the others were
+# not told once a second version appeared.
+def test_others_are_told_of_all_streams_once_a_second_version_appears():
+    fleet = Fleet([(None, OBSERVED)] * N_TOLD)
+    fleet.lookup.note_begun("r1", SERVICE, "v1")
+    fleet.lookup.note_undetermined("r2", SERVICE)
+    fleet.lookup.note_begun("r2", SERVICE, "v1")
+    fleet.rows.written.clear()
+    fleet.streams.note_servers({SERVICE: {"v1", "v2"}})
+    fleet.lookup.tell_unknown()
+    assert {b.request_id for b in fleet.rows.written} == {"r1", "r2"}
