router, tools: an unused property goes, and one function reads a process's status

Found by reading the change once more: `Connection.is_busy` has had no caller since questions for a start close their connection on every path but one, and `is_stopped` read /proc in the same way as `measure_cpu_s`. Behaviour is unchanged.

--- a/bronzesail/router/client.py
+++ b/bronzesail/router/client.py
@@ -117,11 +117,6 @@
         if self.transport is not None:
             self.transport.abort()
 
-    @property
-    def is_busy(self) -> bool:
-        """Whether an exchange is in progress."""
-        return self._sink is not None
-
     @property
     def is_closing(self) -> bool:
         """Whether the connection has ended or is being closed."""
--- a/tools/fleet_processes.py
+++ b/tools/fleet_processes.py
@@ -344,6 +344,11 @@
         return path
 
 
+def _read_status_fields(pid: int) -> list[str]:
+    """Return the fields of a process's status after its name, the state first."""
+    return Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+
+
 def is_stopped(pid: int) -> bool:
     """Return whether a process is stopped by a signal.
 
@@ -357,8 +362,7 @@
     bool
         False also while it has not yet handled the signal.
     """
-    state = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()[0]
-    return state == "T"
+    return _read_status_fields(pid)[0] == "T"
 
 
 def measure_cpu_s(pid: int) -> float:
@@ -374,7 +378,7 @@
     float
         User and system time, in seconds.
     """
-    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    fields = _read_status_fields(pid)
     ticks = int(fields[11]) + int(fields[12])
     return ticks / os.sysconf("SC_CLK_TCK")
 
