router: connecting, version look-ups, gauges and hellos get modules of their own

Connecting to a server and asking it for its start move to connecting.py, finding the version that began a stream to stream_resumption.py, gauges and hellos to modules of their own; no behaviour changes.

--- a/bronzesail/model/_types.py
+++ b/bronzesail/model/_types.py
@@ -13,6 +13,7 @@
     "ClientAccount",
     "Configuration",
     "Engine",
+    "Feature",
     "HostSettings",
     "Limits",
     "RequestHead",
@@ -31,6 +32,16 @@
     STREAM = "stream"
 
 
+class Feature(enum.Enum):
+    """Parts of the router that can be switched off for a comparison."""
+
+    LINK_PROTECTION = "link-protection"
+    SERVER_PACE = "server-pace"
+    SERVER_SPEED = "server-speed"
+    START_ESTIMATES = "start-estimates"
+    CALLER_MEMORY = "caller-memory"
+
+
 @attrs.frozen(kw_only=True)
 class Engine:
     """What a service of model engines offers, each engine alike."""
@@ -233,6 +244,8 @@
     memory_bytes: int
     link_mbps: float
     heartbeat_s: float  # Between two renewals of a backend server's entry.
+    # Whether callers compete for too little capacity, according to the operators.
+    is_capacity_scarce: bool = False
 
     @property
     def region(self) -> str:
--- a/bronzesail/platform/_settings.py
+++ b/bronzesail/platform/_settings.py
@@ -28,6 +28,8 @@
     if not isinstance(ports, list) or len(ports) != 2:
         raise MalformedError("internalPorts is not a list of two ports")
     limits = fields.get("limits", {})
+    # The parts of the platform's contract that are in force.
+    contract = fields.get("invariants")
     return HostSettings(
         host=read_text(fields, "nodeName"),
         ip=read_text(fields, "ip"),
@@ -43,6 +45,7 @@
         memory_bytes=read_int(limits, "memoryMb", 300) * 1_000_000,
         link_mbps=float(read_int(limits, "linkMbps", 1000)),
         heartbeat_s=read_int(fields, "heartbeatMs", 1200) / 1000,
+        is_capacity_scarce=isinstance(contract, list) and "pressure" in contract,
     )
 
 
--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import os
 import random
 import signal
@@ -25,20 +24,15 @@
 from .crashing_parts import CrashingParts
 from .directory import Directory
 from .exchange import Exchange
+from .features import DISABLED_FEATURES_VARIABLE, read_disabled_features
 from .forwarding import Forwarder
+from .gauges import set_gauges
+from .hello import make_hello
 from .internal_http import METRICS_PATH, start_internal_server
 from .log import Log
 from .messages import (
-    MAX_HELLO_CRASHES,
-    Hello,
     ServerFull,
     parse_address,
-    select_brittle,
-    select_crashes,
-    select_cut_off,
-    select_free,
-    select_leaving,
-    select_part_report,
 )
 from .metrics import Metrics
 from .neighbourhood import Neighbourhood
@@ -68,7 +62,7 @@
 
 if TYPE_CHECKING:
     from ..errors import Refusal
-    from ..model import Configuration
+    from ..model import Configuration, Feature
     from .budget_rows import HolderRow
     from .server_limits import LimitReport
 
@@ -119,6 +113,8 @@
         File descriptor that log lines are written to; standard output by default.
     restore_depth_s : float
         Longest time that a copy is behind from which the store may be restored.
+    disabled_features : frozenset of Feature
+        Features that are switched off.
     """
 
     def __init__(
@@ -128,9 +124,11 @@
         started_at: float,
         log_descriptor: int = 1,
         restore_depth_s: float = RESTORE_DEPTH_S,
+        disabled_features: frozenset[Feature] = frozenset(),
     ) -> None:
         self._started_at = started_at
         self._restore_depth_s = restore_depth_s
+        self._disabled_features = disabled_features
         self._loop = loop
         self._settings_path = settings_path
         self._settings_text = _read_text(settings_path)
@@ -154,7 +152,7 @@
         settings = self.settings
         loop = self._loop
         holder_key = f"{settings.host}.{self.incarnation}"
-        self._internal_address = (settings.ip, settings.internal_ports[0])
+        self.internal_address = (settings.ip, settings.internal_ports[0])
         address = f"{settings.ip}:{settings.internal_ports[0]}"
         self.era = StoreEra(self.log)
         self.store = StoreClient(loop, settings, self.era, self.log)
@@ -168,7 +166,7 @@
             settings.link_mbps,
             loop.time,
             settings.region_by_zone,
-            self._internal_address,
+            self.internal_address,
         )
         self.limits = ServerLimits(
             read_clock, settings.host, self.neighbourhood.list_nearest
@@ -211,7 +209,7 @@
             self.book,
             self.log,
             self.neighbourhood,
-            self._make_hello,
+            lambda: make_hello(self),
             self._process_hello,
             lambda ask: self.desk.serve_ask(ask),
             self._serve_waiters,
@@ -280,6 +278,7 @@
             lives=self.lives,
             report_server_full=self.peers.send_server_full,
             announce_state=self.peers.send_hello,
+            disabled_features=self._disabled_features,
             forwarder=Forwarder(
                 settings,
                 self.peers,
@@ -356,11 +355,11 @@
         )
         self._servers.append(
             await start_internal_server(
-                loop, self._internal_address, self._answer_internal_request
+                loop, self.internal_address, self._answer_internal_request
             )
         )
         await self._start_metrics()
-        await self.peers.start(*self._internal_address)
+        await self.peers.start(*self.internal_address)
         self._servers.append(
             await loop.create_server(
                 lambda: CallerConnection(self, loop),
@@ -388,8 +387,9 @@
             incarnation=self.incarnation,
             zone=settings.zone,
             callers=f"{settings.caller_address[0]}:{settings.caller_address[1]}",
-            internal=f"{self._internal_address[0]}:{self._internal_address[1]}",
+            internal=f"{self.internal_address[0]}:{self.internal_address[1]}",
             seeds=[ip for ip, _ in settings.seeds],
+            disabled=sorted(feature.value for feature in self._disabled_features),
         )
 
     async def _start_metrics(self) -> None:
@@ -465,6 +465,18 @@
             self._configuration_watch.is_in_step or self._is_updated_by_nearer_region()
         )
 
+    @property
+    def has_lost_store(self) -> bool:
+        """Whether this router tries to follow the store and fails."""
+        return (
+            self._configuration_watch.has_lost_store
+            or self._server_watch.has_lost_store
+        )
+
+    def count_exchanges(self) -> int:
+        """Return the number of requests in progress."""
+        return len(self._exchanges)
+
     def _is_updated_by_nearer_region(self) -> bool:
         """Whether a router of a region nearer to the store forwards configurations."""
         return self.neighbourhood.has_nearer_follower(self.store.latency_s)
@@ -476,39 +488,10 @@
     def _answer_internal_request(self, path: str) -> tuple[int, bytes]:
         """Return status and body for a metrics scrape or a request of a router."""
         if path == METRICS_PATH:
-            self._set_gauges()
+            set_gauges(self, self.services.metrics.set_state)
             return 200, self.services.metrics.render()
         return self.news.answer(path)
 
-    def _set_gauges(self) -> None:
-        """Copy the current state of the components into the gauges."""
-        set_state = self.services.metrics.set_state
-        set_state("config_version", self.configuration.version)
-        set_state("servers", len(self.directory))
-        withdrawals = self.directory.withdrawals
-        set_state("servers_leaving", len(withdrawals.list_leaving()))
-        set_state("servers_asked_for_pause", withdrawals.n_pauses)
-        set_state("servers_limited", self.limits.count_limited())
-        set_state("services_cut_off", len(self.links.list_cut_off()))
-        set_state("streams_known", self.streams.count())
-        set_state("server_starts_asked", self.lives.n_asked)
-        set_state("services_brittle", self.brittle.count_brittle())
-        set_state("store_era", self.era.current)
-        set_state("store_restores", self.era.n_restores)
-        set_state(
-            "prompt_parts_quarantined", len(self.crashing_parts.list_quarantined())
-        )
-        set_state("routers_counted", self.services.count_hosts() or 0)
-        set_state("store_calls", self.store.calls)
-        set_state("store_failures_in_a_row", self.store.failures_in_a_row)
-        set_state("connections_opened", self.pool.n_opened)
-        set_state("exchanges", len(self._exchanges))
-        set_state("most_answer_bytes", self.services.answer_memory.peak_bytes)
-        set_state("rows_written_again", self.keeper.rows_written_again)
-        set_state("tokens_reclaimed", self.keeper.reclaimed_tokens)
-        set_state("log_lines_dropped", self.log.dropped)
-        set_state("background_failures", self.supervisor.n_failures)
-
     # Changes of the configuration, the directory and the other routers.
 
     def _apply_configuration(self, configuration: Configuration) -> None:
@@ -608,43 +591,6 @@
             max_delay_s *= LOW_RANK_RETRY_FACTOR
         return max_delay_s * self._random.uniform(0.5, 1.0)
 
-    def _get_store_latency_s(self) -> float | None:
-        """Return the measured latency of the store, or None if it is not known."""
-        latency_s = self.store.latency_s
-        return None if math.isinf(latency_s) else round(latency_s, 4)
-
-    def _make_hello(self) -> Hello:
-        """Return the state of this router that its peers need."""
-        spendable = {
-            account: max(0, self.book.count_spendable(account))
-            for account in self.book.holdings
-        }
-        return Hello(
-            host=self.settings.host,
-            incarnation=self.incarnation,
-            address=f"{self._internal_address[0]}:{self._internal_address[1]}",
-            config_version=self.configuration.version,
-            free=select_free(spendable),
-            crashes=select_crashes(self.poison.export(MAX_HELLO_CRASHES)),
-            parts=select_part_report(self.crashing_parts.export()),
-            crash_digest=self.news.crash_digest,
-            zone=self.settings.zone,
-            link_mbps=self.settings.link_mbps,
-            is_leaving=self.is_draining,
-            is_in_step=self.is_following_store,
-            has_lost_store=self._configuration_watch.has_lost_store
-            or self._server_watch.has_lost_store,
-            store_latency_s=self._get_store_latency_s(),
-            config_store_version=self.configuration.store_version,
-            directory_store_version=self.directory.store_version,
-            store_era=self.era.current,
-            leaving=select_leaving(self.directory.withdrawals.list_new_leaving()),
-            directory=f"{self.incarnation}.{self.directory.generation}",
-            callers="{}:{}".format(*self.settings.caller_address),
-            cut_off=select_cut_off(self.links.list_cut_off()),
-            brittle=select_brittle(self.brittle.list_reports()),
-        )
-
     def _process_hello(self, peer: Peer) -> None:
         """Record what a peer says of servers and fetch what it has newer."""
         if peer.hello.store_era > self.era.current:
@@ -824,7 +770,13 @@
         loop = asyncio.get_running_loop()
         try:
             application = Application(
-                loop, path, started_at, restore_depth_s=restore_depth_s
+                loop,
+                path,
+                started_at,
+                restore_depth_s=restore_depth_s,
+                disabled_features=read_disabled_features(
+                    os.environ.get(DISABLED_FEATURES_VARIABLE, "")
+                ),
             )
         except (OSError, ValueError) as error:
             print(f"settings file {path!r}: {error}", file=sys.stderr)
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import functools
-import itertools
 import math
 from typing import TYPE_CHECKING
 
@@ -20,12 +19,12 @@
     encode_refusal_head,
     read_request_head,
 )
-from .client import ConnectError
+from .connecting import Connector, send_ids
 from .forwarding import MAX_FORWARDS
 from .placement import Work
 from .poison import make_fingerprint
 from .relay import Ending, Outcome, Relay, StreamState
-from .server_lives import ENTRY_DELAY_S
+from .stream_resumption import look_up_beginning
 from .stream_versions import UNDETERMINED
 
 if TYPE_CHECKING:
@@ -42,7 +41,6 @@
     from .client import Connection
     from .forwarding import Target
     from .services import Services
-    from .stream_versions import StreamBeginning
 
 __all__ = ["Exchange"]
 
@@ -69,10 +67,6 @@
 # Retry-After where all servers are full. It is multiplied by a random factor from a
 # range of width one half, so that callers do not retry at the same moment.
 OVERLOADED_RETRY_AFTER_S = 1.0
-# Longest wait for the version of a stream that began at a server whose entry has not
-# arrived, and the time between two looks.
-MAX_VERSION_WAIT_S = 1.5
-VERSION_RECHECK_S = 0.25
 # Retry-After of a stream that began at a server whose entry has not arrived.
 UNDETERMINED_RETRY_AFTER_S = 1.0
 # A higher age means that the server has never reported its load.
@@ -81,12 +75,8 @@
 QUARANTINE_RETRY_AFTER_S = 10.0
 # Retry-After while this router drains: another host accepts the request at once.
 DRAINING_RETRY_AFTER_S = 0.05
-MAX_QUESTIONS = 2  # For the start of a server, as an answer may end its connection.
 LOWEST_PRIORITY = 9  # Larger priority numbers are sent to engines as this one.
 
-# Numbers that identify single sends in the load statistics.
-_ticket_numbers = itertools.count(1)
-
 
 class _RefusedError(Exception):
     """Ends the processing of a request with a refusal."""
@@ -145,7 +135,7 @@
         # Software version of the server that began the stream, once it has begun.
         self._version: str | None = None
         self._tried_server_ids: list[str] = []
-        self._asked_server_ids: list[str] = []  # For their starts.
+        self._connector = Connector(services, self._tried_server_ids)
         self._asked_hosts: list[str] = []  # Routers that it was forwarded to.
         self._forwarded_events = 0  # Relayed from other routers, which charge them.
         self._outcome_label = "aborted"
@@ -291,7 +281,13 @@
         assert self._route is not None and self._head is not None
         if self._stream is None or self._head.last_event_id is None:
             return
-        beginning = await self._look_up_beginning(self._head.resumes or "")
+        max_wait_s = (self._deadline_at - self._loop.time()) * MAX_WAIT_SHARE
+        beginning = await look_up_beginning(
+            self._services.stream_lookup,
+            self._head.resumes or "",
+            self._service,
+            max_wait_s,
+        )
         if beginning is None:
             raise self._make_refusal_error(ResultCode.STREAM_UNKNOWN)
         if beginning.version == UNDETERMINED:
@@ -307,25 +303,6 @@
         self._set_service(beginning.service, configuration)
         self._version = beginning.version
 
-    async def _look_up_beginning(self, request_id: str) -> StreamBeginning | None:
-        """Return who began a stream, None if nobody knows.
-
-        The entry of a server that has just started is waited for, within limits.
-        """
-        find = self._services.stream_lookup.find
-        now = self._loop.time()
-        wait_s = min(MAX_VERSION_WAIT_S, (self._deadline_at - now) * MAX_WAIT_SHARE)
-        beginning = await find(request_id, self._service)
-        while (
-            beginning is not None
-            and beginning.version == UNDETERMINED
-            and beginning.age_s < ENTRY_DELAY_S
-            and self._loop.time() < now + wait_s
-        ):
-            await asyncio.sleep(VERSION_RECHECK_S)
-            beginning = await find(request_id, self._service)
-        return beginning
-
     async def _reserve(self) -> None:
         """Reserve the most tokens that the request can cost, if its account prepays."""
         assert self._head is not None
@@ -365,8 +342,10 @@
             self._services.placement.note_assignment_ended(server.id)
         if connection is None:
             return False
-        if not self._services.is_available(server) or not self._may_continue_at(
-            server, connection
+        if not self._services.is_available(
+            server
+        ) or not self._connector.may_continue_at(
+            server, connection, self._version, self._request_id
         ):
             # It has withdrawn, or started again before its entry says so.
             self._services.pool.release(connection)
@@ -622,80 +601,16 @@
 
         The attempt ends with the request's deadline.
         """
+        may_ask = self._engine is not None and server.born_ms > 0
         try:
             async with asyncio.timeout_at(self._deadline_at):
-                connection = self._services.pool.acquire_idle(server.address)
-                if connection is None:
-                    connection = await self._services.pool.open(server.address)
-                    self._services.links.note_reachable(server)
-                if self._needs_start(server, connection) and not await self._ask_start(
-                    server, connection
-                ):
-                    return None
+                return await self._connector.connect(
+                    server,
+                    is_resumable=self._stream is not None and self._is_repeatable(),
+                    may_ask=may_ask,
+                )
         except TimeoutError as error:
             raise self._make_refusal_error(ResultCode.DEADLINE_PASSED) from error
-        except ConnectError as error:
-            self._tried_server_ids.append(server.id)
-            self._services.links.note_unreachable(server, str(error))
-            return None
-        return connection
-
-    def _needs_start(self, server: BackendServer, connection: Connection) -> bool:
-        """Whether the server is to be asked for its start before a stream is sent."""
-        lives = self._services.lives
-        return (
-            self._stream is not None
-            and self._is_repeatable()
-            and not lives.is_identified(connection)
-            and lives.find_version(server, connection, is_idle=True) is None
-        )
-
-    async def _ask_start(self, server: BackendServer, connection: Connection) -> bool:
-        """Ask for the start of a server; return whether the connection can be used.
-
-        A server that does not answer is not tried again.
-        """
-        services = self._services
-        may_ask = self._engine is not None and server.born_ms
-        if not may_ask or self._asked_server_ids.count(server.id) >= MAX_QUESTIONS:
-            services.lives.note_silent(connection)
-            return True
-        self._asked_server_ids.append(server.id)
-
-        def on_head(head: AnswerHead) -> None:
-            services.note_answer_head(server, head)
-
-        # A question that hangs shows, like a request, that the server is out of reach.
-        ticket = next(_ticket_numbers)
-        unread_tokens = services.placement.note_sent(server.id, Work(), ticket)
-        try:
-            return await services.lives.ask(server, connection, on_head)
-        except ConnectError:
-            self._tried_server_ids.append(server.id)
-            services.note_failure(server, "no response in time")
-            return False
-        finally:
-            services.placement.note_response_started(server.id, unread_tokens, ticket)
-            services.placement.note_request_ended(server.id, ticket)
-
-    def _may_continue_at(self, server: BackendServer, connection: Connection) -> bool:
-        """Whether a server runs the version that the stream goes on at, if it does."""
-        if self._version is None:
-            return True
-        version = self._services.lives.find_version(server, connection, is_idle=True)
-        if version == self._version:
-            return True
-        self._services.log.write(
-            "stream: not continued at a server of another life",
-            request=self._request_id,
-            server=server.id,
-            version=version,
-            wanted=self._version,
-        )
-        if not self._services.lives.is_doubted(server):
-            # Of an earlier life of the server than its entry.
-            connection.close()
-        return False
 
     def _spend_retry(self) -> bool:
         """Spend one retry of the service's budget; return whether one was left."""
@@ -720,7 +635,7 @@
         """Send the request over a connection and relay the response."""
         assert self._head is not None and self._route is not None
         placement = self._services.placement
-        ticket = next(_ticket_numbers)
+        ticket = next(send_ids)
         unread_tokens = placement.note_sent(server.id, self._work, ticket)
         is_waiting_for_head = True
 
--- a/bronzesail/router/services.py
+++ b/bronzesail/router/services.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from ..model import HostSettings
+from ..model import Feature, HostSettings
 from .admission_queue import AdmissionQueue
 from .answer_memory import AnswerMemory
 from .brittle_servers import BrittleServers
@@ -73,9 +73,14 @@
     report_server_full: Callable[[ServerFull], None]  # To the other routers.
     announce_state: Callable[[], None]  # To the other routers, at once.
     forwarder: Forwarder
+    disabled_features: frozenset[Feature] = frozenset()
     _retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
 
+    def is_enabled(self, feature: Feature) -> bool:
+        """Whether a feature was not switched off."""
+        return feature not in self.disabled_features
+
     def retry_budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service, creating it on first use."""
         budget = self._retry_budgets.get(service)
--- a/tests/test_router/test_large_fleet.py
+++ b/tests/test_router/test_large_fleet.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from bronzesail.router.hello import make_hello
 from bronzesail.router.messages import PACKET_BYTES
 from bronzesail.router.neighbourhood import SMALL_FLEET
 from bronzesail.router.poison import make_fingerprint
@@ -122,7 +123,7 @@
         await wait_until(lambda: app.neighbourhood.is_large)
         for number in range(n_crashes):
             app.poison.note_crash(make_fingerprint(b"/chat", "acme", b"%d" % number))
-        sizes.append(len(msgspec.msgpack.encode(app._make_hello())))
+        sizes.append(len(msgspec.msgpack.encode(make_hello(app))))
 
     run_in_large_fleet(tmp_path, scenario)
     assert max(sizes) <= PACKET_BYTES
