router: requests reach servers and routers in their home regions only

Routes and client accounts may list home regions (allowedRegions).

Route and account apply together. The regions are those of the configuration in force at each use: when a server is chosen, while a request waits, once the connection is open, and before a body goes to another router. A request without a server at home is refused at once as BZ1501 with Retry-After. Requests for a full region do not hold up others, and new requests queue behind them, so that they take none of their places. A value that is not a list of strings makes the configuration malformed, as for apiKeys; unknown regions are logged and match no server.

--- a/bronzesail/model/_types.py
+++ b/bronzesail/model/_types.py
@@ -76,6 +76,7 @@
     is_public: bool
     is_resumable: bool
     services: tuple[tuple[str, float], ...]
+    regions: frozenset[str] | None = None  # Home regions, None for all.
 
     @property
     def may_repeat(self) -> bool:
@@ -91,6 +92,7 @@
     keys: tuple[str, ...]
     priority: int | None
     prepaid_tokens: int | None
+    regions: frozenset[str] | None = None  # Home regions, None for all.
 
 
 @attrs.frozen(kw_only=True)
--- a/bronzesail/platform/_configuration.py
+++ b/bronzesail/platform/_configuration.py
@@ -95,6 +95,7 @@
             (read_text(part, "service"), float(read_int(part, "weight", 1)))
             for part in split
         ),
+        regions=_read_regions(fields),
     )
 
 
@@ -126,9 +127,15 @@
         priority=read_int(fields, "priority") if has_priority else None,
         # "reserved" is the number of prepaid tokens of a day, not a reservation.
         prepaid_tokens=read_int(fields, "reserved") if has_prepaid else None,
+        regions=_read_regions(fields),
     )
 
 
+def _read_regions(fields: dict[str, Any]) -> frozenset[str] | None:
+    """Return the home regions of a route or an account, None without a restriction."""
+    return frozenset(read_texts(fields, "allowedRegions")) or None
+
+
 def _decode_limits(fields: dict[str, Any]) -> Limits:
     default = Limits()
     header_ms = read_int(fields, "headerTimeoutMs", 3000)
--- a/bronzesail/router/admission_queue.py
+++ b/bronzesail/router/admission_queue.py
@@ -6,7 +6,7 @@
 import heapq
 import itertools
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING
 
 import attrs
@@ -42,6 +42,7 @@
     excluded: Sequence[str]
     future: asyncio.Future[BackendServer | None]
     deadline: float
+    find_regions: Callable[[], frozenset[str] | None]
 
 
 class AdmissionQueue:
@@ -87,6 +88,7 @@
         rank: int,
         deadline: float,
         version: str | None = None,
+        find_regions: Callable[[], frozenset[str] | None] = lambda: None,
     ) -> BackendServer | None:
         """Return a server with capacity, waiting for one if necessary.
 
@@ -109,17 +111,29 @@
             Time on the event loop's clock after which None is returned.
         version : str, optional
             Software version of the servers to choose from; all by default.
+        find_regions : callable, optional
+            Returns the regions of the servers to choose from, None for all. They may
+            change while the request waits.
         """
         loop = asyncio.get_running_loop()
         queued = _QueuedRequest(
-            work, engine, version, excluded, loop.create_future(), deadline
+            work,
+            engine,
+            version,
+            excluded,
+            loop.create_future(),
+            deadline,
+            find_regions,
         )
-        if not self._has_waiting(service, version):
+        has_restricted = self._has_restricted_waiting(service)
+        if not has_restricted and not self._has_waiting(service, version):
             server = self._choose_server(service, queued)
             if server is not None:
                 return server
         queue = self._queues.setdefault(service, [])
         heapq.heappush(queue, (rank, next(self._sequence), queued))
+        if has_restricted:
+            self.dispatch(service)
         timer = loop.call_later(RECHECK_S, self._recheck, service)
         try:
             async with asyncio.timeout_at(deadline):
@@ -143,6 +157,31 @@
             for _, _, queued in self._queues.get(service, ())
         )
 
+    def _has_restricted_waiting(self, service: str) -> bool:
+        """Whether queued requests have home regions.
+
+        A new request is then queued as well, so that it takes no place that one of
+        them may have.
+        """
+        return any(
+            not queued.future.done() and queued.find_regions() is not None
+            for _, _, queued in self._queues.get(service, ())
+        )
+
+    def note_eligibility_changed(self) -> None:
+        """Assign servers after home regions have changed, or data centres evacuated.
+
+        The wait of requests without a usable server ends, if they have home regions.
+        """
+        for service in self.list_waiting():
+            for _, _, queued in self._queues[service]:
+                regions = queued.find_regions()
+                if regions is None or queued.future.done():
+                    continue
+                if not self._directory.list_usable(service, queued.version, regions):
+                    queued.future.set_result(None)
+            self.dispatch(service)
+
     def count_waiting(self, service: str) -> int:
         """Return the number of queued requests of a service."""
         return sum(not w.future.done() for _, _, w in self._queues.get(service, ()))
@@ -157,6 +196,7 @@
         excluded: Sequence[str] = (),
         rank: int | None = None,
         version: str | None = None,
+        regions: frozenset[str] | None = None,
     ) -> float | None:
         """Return when the first server accepts a request of this router again.
 
@@ -174,11 +214,13 @@
             requests that go first use up what is accepted before.
         version : str, optional
             Software version of the servers that count; all by default.
+        regions : frozenset of str, optional
+            Regions of the servers that count; all by default.
         """
         now = asyncio.get_running_loop().time()
         earliest = math.inf
         shares: list[float | None] = []
-        for server in self._directory.list_usable(service, version):
+        for server in self._directory.list_usable(service, version, regions):
             if server.id in excluded:
                 continue
             resume_at = now + self._limits.find_wait_s(server)
@@ -213,7 +255,10 @@
         """
         for _, _, queued in self._queues.get(service, ()):
             resume_at = self.find_resume_time(
-                service, queued.excluded, version=queued.version
+                service,
+                queued.excluded,
+                version=queued.version,
+                regions=queued.find_regions(),
             )
             if queued.future.done() or resume_at is None:
                 continue
@@ -232,33 +277,53 @@
     def dispatch(self, service: str) -> None:
         """Assign a server to the first queued request that one has capacity for.
 
-        Only requests for one software version let later ones go before them. Further
+        Only requests for one software version, or for some regions, let later ones go
+        before them; of those for the same regions none goes before the first. Further
         requests are served by later iterations of the event loop.
         """
         queue = self._queues.get(service)
         if not queue:
             return
-        passed_over = []
-        is_assigned = False
-        while queue and not is_assigned:
+        passed_over: list[tuple[int, int, _QueuedRequest]] = []
+        is_assigned = self._assign_first(service, queue, passed_over)
+        for entry in passed_over:
+            heapq.heappush(queue, entry)
+        if is_assigned:
+            asyncio.get_running_loop().call_soon(self.dispatch, service)
+        elif passed_over:
+            self._dispatch_at_next_permit(service)
+
+    def _assign_first(
+        self,
+        service: str,
+        queue: list[tuple[int, int, _QueuedRequest]],
+        passed_over: list[tuple[int, int, _QueuedRequest]],
+    ) -> bool:
+        """Assign a server to the first request that one has capacity for, if any.
+
+        Requests that go before it are moved to `passed_over`. Returns whether a
+        server was assigned.
+        """
+        full: set[tuple[str | None, frozenset[str] | None]] = set()
+        while queue:
             entry = heapq.heappop(queue)
             queued = entry[-1]
             if queued.future.done():
                 continue
+            regions = queued.find_regions()
+            selection = (queued.version, regions)
+            if regions is not None and selection in full:
+                passed_over.append(entry)
+                continue
             server = self._choose_server(service, queued)
             if server is not None:
                 queued.future.set_result(server)
-                is_assigned = True
-                continue
+                return True
             passed_over.append(entry)
-            if queued.version is None:
+            if selection == (None, None):
                 break
-        for entry in passed_over:
-            heapq.heappush(queue, entry)
-        if is_assigned:
-            asyncio.get_running_loop().call_soon(self.dispatch, service)
-        elif passed_over:
-            self._dispatch_at_next_permit(service)
+            full.add(selection)
+        return False
 
     def _dispatch_at_next_permit(self, service: str) -> None:
         """Dispatch again when a server with a limit accepts the next request."""
@@ -302,7 +367,9 @@
 
         If the server has a limit, the request uses up a permit.
         """
-        servers = self._directory.list_usable(service, queued.version)
+        servers = self._directory.list_usable(
+            service, queued.version, queued.find_regions()
+        )
         now = asyncio.get_running_loop().time()
         requests_per_slot = (
             PLAIN_REQUESTS_PER_SLOT
--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -23,6 +23,7 @@
 from .clocks import read_clock
 from .crashing_parts import CrashingParts
 from .directory import Directory
+from .eligibility import find_unknown_regions
 from .exchange import Exchange
 from .features import DISABLED_FEATURES_VARIABLE, read_disabled_features
 from .forwarding import Forwarder
@@ -157,7 +158,7 @@
         self.era = StoreEra(self.log)
         self.store = StoreClient(loop, settings, self.era, self.log)
         self.configuration = ConfigurationKeeper(self.log, self._apply_configuration)
-        self.directory = Directory(loop.time)
+        self.directory = Directory(loop.time, settings.region_by_zone)
         self.era.subscribe(self._note_era)
         self.placement = Placement(loop.time, settings.zone, settings.region_by_zone)
         self.neighbourhood = Neighbourhood(
@@ -505,6 +506,14 @@
         )
         self.keeper.request_renewal()
         self.peers.send_hello()
+        unknown = find_unknown_regions(configuration, self._list_regions())
+        if unknown:
+            self.log.write("config: unknown home regions", regions=unknown)
+        self.line.note_eligibility_changed()
+
+    def _list_regions(self) -> set[str]:
+        """Return the regions that data centres are in."""
+        return set(self.settings.region_by_zone.values())
 
     def _announce_change(self) -> None:
         """Send a hello at once in a large fleet, where few routers read the store."""
@@ -672,6 +681,8 @@
         self._settings_text = text
         self.settings = settings
         self.services.settings = settings
+        self.services.forwarder.settings = settings
+        self.directory.region_by_zone = settings.region_by_zone
         self.store.settings = settings
         self.log.write("settings: reloaded")
 
--- a/bronzesail/router/directory.py
+++ b/bronzesail/router/directory.py
@@ -66,9 +66,13 @@
     ----------
     now : callable
         Returns the seconds of a monotonic clock.
+    region_by_zone : mapping, optional
+        Region of each data centre. Servers of any other data centre are in no region.
 
     Attributes
     ----------
+    region_by_zone : mapping
+        As the parameter; replaced when the settings file changes.
     generation : int
         Number of changes so far.
     store_version : StoreVersion
@@ -77,8 +81,13 @@
         The servers that leave or pause by their own word.
     """
 
-    def __init__(self, now: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        now: Callable[[], float],
+        region_by_zone: Mapping[str, str] | None = None,
+    ) -> None:
         self._now = now
+        self.region_by_zone = region_by_zone or {}
         self._servers: dict[str, BackendServer] = {}
         self._grace_ends: dict[str, float] = {}
         self._replaced: set[str] = set()
@@ -288,12 +297,28 @@
             and not self.withdrawals.is_leaving(server)
         )
 
+    def is_in_regions(
+        self, server: BackendServer, regions: frozenset[str] | None
+    ) -> bool:
+        """Whether a server is in one of the given regions; None stands for all."""
+        return regions is None or self.region_by_zone.get(server.zone) in regions
+
     def list_usable(
-        self, service: str, version: str | None = None
+        self,
+        service: str,
+        version: str | None = None,
+        regions: frozenset[str] | None = None,
     ) -> list[BackendServer]:
         """Return the servers of a service that accept new requests.
 
-        `version` is the software version that they must have; any by default.
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        version : str, optional
+            Software version that the servers must have; any by default.
+        regions : frozenset of str, optional
+            Regions that the servers must be in; any by default.
         """
         return [
             server
@@ -301,6 +326,7 @@
             if server.service == service
             and self.is_usable(server)
             and version in (None, server.version)
+            and self.is_in_regions(server, regions)
         ]
 
     def list_all(self) -> list[BackendServer]:
--- /dev/null
+++ b/bronzesail/router/eligibility/__init__.py
@@ -0,0 +1,7 @@
+"""Which servers a request may reach at all, whatever their load."""
+
+from __future__ import annotations
+
+from ._regions import HomeRegions, combine_regions, find_unknown_regions
+
+__all__ = ["HomeRegions", "combine_regions", "find_unknown_regions"]
--- /dev/null
+++ b/bronzesail/router/eligibility/_regions.py
@@ -0,0 +1,80 @@
+"""Home regions: the only ones whose servers a request may reach."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from ...model import ClientAccount, Configuration, Route
+
+__all__ = ["HomeRegions", "combine_regions", "find_unknown_regions"]
+
+
+class _Keeper(Protocol):
+    """Holds the configuration in force."""
+
+    current: Configuration | None
+
+
+class HomeRegions:
+    """Home regions of one request, by the configuration in force.
+
+    Parameters
+    ----------
+    keeper : ConfigurationKeeper
+        Holds the configuration.
+    find_origin : callable
+        Returns the request's route and account in a configuration, None if it has
+        none there any more. Such a request is refused; until then its last home
+        regions apply.
+    """
+
+    def __init__(
+        self,
+        keeper: _Keeper,
+        find_origin: Callable[
+            [Configuration], tuple[Route, ClientAccount | None] | None
+        ],
+    ) -> None:
+        self._keeper = keeper
+        self._find_origin = find_origin
+        self._seen: Configuration | None = None
+        self._regions: frozenset[str] | None = None
+
+    def find(self) -> frozenset[str] | None:
+        """Return the regions that the request may reach, None for all."""
+        configuration = self._keeper.current
+        if configuration is None or configuration is self._seen:
+            return self._regions
+        self._seen = configuration
+        origin = self._find_origin(configuration)
+        if origin is not None:
+            self._regions = combine_regions(*origin)
+        return self._regions
+
+
+def combine_regions(
+    route: Route, account: ClientAccount | None
+) -> frozenset[str] | None:
+    """Return the home regions of a request, None without a restriction.
+
+    The result is empty if route and account have no home region in common.
+    """
+    regions = None if account is None else account.regions
+    if route.regions is None or regions is None:
+        return regions if route.regions is None else route.regions
+    return route.regions & regions
+
+
+def find_unknown_regions(
+    configuration: Configuration, known: Iterable[str]
+) -> list[str]:
+    """Return the home regions of a configuration that no data centre is in, sorted."""
+    lists = [
+        route.regions for found in configuration.routes.values() for route in found
+    ]
+    lists += [account.regions for account in configuration.accounts.values()]
+    named = frozenset().union(*(regions for regions in lists if regions is not None))
+    return sorted(named - set(known))
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -20,6 +20,7 @@
     read_request_head,
 )
 from .connecting import Connector, send_ids
+from .eligibility import HomeRegions
 from .forwarding import MAX_FORWARDS
 from .placement import Work
 from .poison import make_fingerprint
@@ -127,6 +128,7 @@
         self._sends = 0
         self._misdirected_sends = 0
         self._may_have_run = False
+        self._homes = HomeRegions(services.configuration, self._find_origin)
         self._fingerprint = ""
         self._reserved_tokens = 0
         self._charged_tokens = 0
@@ -249,6 +251,15 @@
             raise self._make_refusal_error(ResultCode.UNAUTHENTICATED)
         return account
 
+    def _find_origin(
+        self, configuration: Configuration
+    ) -> tuple[Route, ClientAccount | None] | None:
+        """Return the route and account in a configuration, None if it has none."""
+        try:
+            return self._find_route(configuration), self._find_account(configuration)
+        except _RefusedError:
+            return None
+
     def _choose_service(self, configuration: Configuration) -> None:
         """Draw a service by the route's weights and set what depends on the route."""
         assert self._route is not None and self._head is not None
@@ -343,11 +354,12 @@
         if connection is None:
             return False
         if not self._services.is_available(
-            server
+            server, self._homes.find()
         ) or not self._connector.may_continue_at(
             server, connection, self._version, self._request_id
         ):
-            # It has withdrawn, or started again before its entry says so.
+            # It has withdrawn, started again before its entry says so, or the home
+            # regions have changed.
             self._services.pool.release(connection)
             return False
         if self._sends and not self._spend_retry():
@@ -367,7 +379,7 @@
             try:
                 async with asyncio.timeout_at(self._deadline_at):
                     found = await self._services.forwarder.connect(
-                        self._service, self._asked_hosts
+                        self._service, self._asked_hosts, self._homes.find
                     )
             except TimeoutError as error:
                 raise self._make_refusal_error(ResultCode.DEADLINE_PASSED) from error
@@ -377,6 +389,9 @@
             self._asked_hosts.append(target.host)
             self._connection = connection
             await self._transfer_reservation(target)
+            if not self._services.forwarder.is_in_regions(target, self._homes.find()):
+                self._close_connection()
+                continue
             outcome = await self._exchange_with_peer(target, connection)
             if self._process_peer_outcome(outcome):
                 return True
@@ -389,7 +404,9 @@
             self._head.earlier_sends is None
             and len(self._asked_hosts) < MAX_FORWARDS
             and (not self._may_have_run or self._may_retry())
-            and self._services.links.is_cut_off(self._service, self._version)
+            and self._services.links.is_cut_off(
+                self._service, self._version, self._homes.find()
+            )
         )
 
     async def _exchange_with_peer(
@@ -515,6 +532,7 @@
             self._priority,
             wait_until,
             self._version,
+            self._homes.find,
         )
         self._place_wait_s += self._loop.time() - asked_at
         if server is not None:
@@ -534,6 +552,12 @@
         """
         usable = self._list_usable()
         if not usable:
+            if self._homes.find() is not None:
+                raise self._make_refusal_error(
+                    ResultCode.NO_BACKEND,
+                    "no server in a home region is left",
+                    retry_after_s=NO_BACKEND_RETRY_AFTER_S,
+                )
             if self._version is not None:
                 raise self._make_refusal_error(
                     ResultCode.NO_BACKEND,
@@ -541,7 +565,10 @@
                 )
             return
         resume_at = self._services.admission_queue.find_resume_time(
-            self._service, rank=self._priority, version=self._version
+            self._service,
+            rank=self._priority,
+            version=self._version,
+            regions=self._homes.find(),
         )
         is_pausing = resume_at is not None and resume_at > wait_until
         if is_pausing or all(s.id in self._tried_server_ids for s in usable):
@@ -549,7 +576,9 @@
 
     def _list_usable(self) -> list[BackendServer]:
         """Return the servers that this request may be sent to."""
-        return self._services.directory.list_usable(self._service, self._version)
+        return self._services.directory.list_usable(
+            self._service, self._version, self._homes.find()
+        )
 
     def _make_overloaded_error(self, resume_at: float | None = None) -> _RefusedError:
         """Return the refusal of a request that finds no place at a server.
@@ -785,7 +814,7 @@
 
     def _take_back(self, relay: Relay) -> None:
         """End the wait for a server out of reach, if another router may reach one."""
-        if self._services.forwarder.has_target(self._service):
+        if self._services.forwarder.has_target(self._service, self._homes.find()):
             relay.response_failed("no server is reached")
 
     async def _watch_stream(self, relay: Relay, can_retry: bool) -> Outcome:
--- a/bronzesail/router/forwarding.py
+++ b/bronzesail/router/forwarding.py
@@ -17,7 +17,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Collection
+    from collections.abc import Callable, Collection
 
     from ..model import HostSettings
     from .client import ClientPool, Connection
@@ -37,6 +37,7 @@
     host: str
     address: tuple[str, int]
     internal_address: tuple[str, int]  # Where it receives messages of routers.
+    zone: str
 
 
 class Forwarder:
@@ -45,7 +46,8 @@
     Parameters
     ----------
     settings : HostSettings
-        This host's settings; all hosts use the same ports.
+        This host's settings; all hosts use the same ports. Replaced when the settings
+        file changes.
     peers : Peers
         The routers known by their hellos.
     neighbourhood : Neighbourhood
@@ -67,19 +69,25 @@
         log: Log,
         random: random.Random,
     ) -> None:
-        self._settings = settings
+        self.settings = settings
         self._peers = peers
         self._neighbourhood = neighbourhood
         self._pool = pool
         self._log = log
         self._random = random
 
-    def has_target(self, service: str) -> bool:
-        """Whether any other router may reach a service."""
-        return any(self._list_targets(service))
+    def has_target(self, service: str, regions: frozenset[str] | None = None) -> bool:
+        """Whether any other router, in one of the given regions, may reach a service.
+
+        `regions` is None if all regions count.
+        """
+        return any(self._list_targets(service, regions))
 
     async def connect(
-        self, service: str, excluded: Collection[str]
+        self,
+        service: str,
+        excluded: Collection[str],
+        find_regions: Callable[[], frozenset[str] | None] = lambda: None,
     ) -> tuple[Target, Connection] | None:
         """Return a router that may reach a service, with a connection to it.
 
@@ -89,10 +97,12 @@
             Service of the request.
         excluded : collection of str
             Hosts that the request was offered to before.
+        find_regions : callable, optional
+            Returns the regions that the router must be in, None for all.
         """
         tried = set(excluded)
         for _ in range(MAX_FORWARDS - len(excluded)):
-            target = self._choose(service, tried)
+            target = self._choose(service, tried, find_regions())
             if target is None:
                 return None
             tried.add(target.host)
@@ -126,19 +136,33 @@
             is_confirmed=is_confirmed,
         )
 
-    def _choose(self, service: str, excluded: Collection[str]) -> Target | None:
+    def _choose(
+        self,
+        service: str,
+        excluded: Collection[str],
+        regions: frozenset[str] | None,
+    ) -> Target | None:
         """Return a random router of this region, or else of another one."""
-        near, far = self._list_targets(service)
+        near, far = self._list_targets(service, regions)
         for targets in (near, far):
             candidates = [target for target in targets if target.host not in excluded]
             if candidates:
                 return self._random.choice(candidates)
         return None
 
-    def _list_targets(self, service: str) -> tuple[list[Target], list[Target]]:
+    def is_in_regions(self, target: Target, regions: frozenset[str] | None) -> bool:
+        """Whether a router is in one of the given regions; None stands for all."""
+        if regions is None:
+            return True
+        return self.settings.region_by_zone.get(target.zone) in regions
+
+    def _list_targets(
+        self, service: str, regions: frozenset[str] | None
+    ) -> tuple[list[Target], list[Target]]:
         """Return the routers of this region and those of other regions.
 
-        Nothing is known of the links of a router that only a leader reports.
+        Nothing is known of the links of a router that only a leader reports. `regions`
+        are the only ones whose routers count, None for all.
         """
         near: list[Target] = []
         far: list[Target] = []
@@ -148,17 +172,21 @@
             known_hosts.add(hello.host)
             if service in hello.cut_off or not hello.callers:
                 continue
-            target = Target(hello.host, parse_address(hello.callers), peer.address)
+            callers = parse_address(hello.callers)
+            target = Target(hello.host, callers, peer.address, hello.zone)
             (near if self._is_near(hello.zone) else far).append(target)
-        caller_port = self._settings.caller_address[1]
+        caller_port = self.settings.caller_address[1]
         for zone, hosts in self._neighbourhood.list_other_zones().items():
             for host, (ip, port) in hosts.items():
                 if host in known_hosts:
                     continue
-                target = Target(host, (ip, caller_port), (ip, port))
+                target = Target(host, (ip, caller_port), (ip, port), zone)
                 (near if self._is_near(zone) else far).append(target)
-        return near, far
+        return (
+            [target for target in near if self.is_in_regions(target, regions)],
+            [target for target in far if self.is_in_regions(target, regions)],
+        )
 
     def _is_near(self, zone: str) -> bool:
         """Whether a data centre is in this host's region."""
-        return self._settings.region_by_zone.get(zone) == self._settings.region
+        return self.settings.region_by_zone.get(zone) == self.settings.region
--- a/bronzesail/router/server_links.py
+++ b/bronzesail/router/server_links.py
@@ -93,13 +93,18 @@
         """Return the services out of reach, as of the last check."""
         return self._cut_off
 
-    def is_cut_off(self, service: str, version: str | None = None) -> bool:
+    def is_cut_off(
+        self,
+        service: str,
+        version: str | None = None,
+        regions: frozenset[str] | None = None,
+    ) -> bool:
         """Whether no request can be sent to any usable server of a service from here.
 
-        Answers on connections that live on show nothing of new ones. `version` is the
-        software version of the servers that count; all by default.
+        Answers on connections that live on show nothing of new ones. `version` and
+        `regions` select the servers that count; all by default.
         """
-        servers = self._directory.list_usable(service, version)
+        servers = self._directory.list_usable(service, version, regions)
         return bool(servers) and all(self._is_unreachable(s) for s in servers)
 
     def has_lost_others(self, server: BackendServer, since: float) -> bool:
--- a/bronzesail/router/services.py
+++ b/bronzesail/router/services.py
@@ -104,13 +104,19 @@
         if self.directory.note_replaced(server):
             self.log.write("directory: server replaced", server=server.id)
 
-    def is_available(self, server: BackendServer) -> bool:
-        """Whether a server still accepts requests and runs the same version."""
+    def is_available(
+        self, server: BackendServer, regions: frozenset[str] | None = None
+    ) -> bool:
+        """Whether a server still accepts requests, at the same version and in regions.
+
+        `regions` are the home regions of the request, None without a restriction.
+        """
         current = self.directory.get(server.id)
         return (
             current is not None
             and current.version == server.version
             and self.directory.is_usable(current)
+            and self.directory.is_in_regions(current, regions)
             and self.directory.withdrawals.find_pause_end(current) is None
         )
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -243,6 +243,7 @@
     def __init__(self, server_id, service, behave):
         self.id = server_id
         self.service = service
+        self.zone = "z1"
         self.version = "v1"  # Of its software.
         self.born_ms = make_born_ms()  # Start of its current life, in Unix time.
         self.tells_start = True
@@ -284,7 +285,7 @@
         entry = {
             "service": self.service,
             "address": self._server.address,
-            "zone": "z1",
+            "zone": self.zone,
             "version": self.version,
             "slots": 8,
             "state": state,
@@ -457,11 +458,13 @@
         self.backends = []
         self.routers = []
         self.links = []
+        self.region_by_zone = {"z1": "r1"}
 
-    async def start_backend(self, server_id, service, behave, version="v1"):
+    async def start_backend(self, server_id, service, behave, version="v1", zone="z1"):
         """Start a backend server and write its entry to the store."""
         backend = BackendStandin(server_id, service, behave)
         backend.version = version
+        backend.zone = zone
         await backend.start()
         self.backends.append(backend)
         self.store.put("servers", server_id, backend.make_entry())
@@ -499,18 +502,20 @@
         bounds="",
         store=None,
         link_mbps=1000,
+        zone="z1",
     ):
         """Write a router's settings file and return its path."""
         path = self._folder / f"{name}.toml"
+        zones = "\n".join(f'{z} = "{r}"' for z, r in self.region_by_zone.items())
         path.write_text(f"""
 nodeName = "{name}"
 ip = "{host.ip}"
-zone = "z1"
-region = "r1"
+zone = "{zone}"
+region = "{self.region_by_zone[zone]}"
 internalPorts = [{host.internal_port}, {host.internal_port}]
 seeds = []
 [zones]
-z1 = "r1"
+{zones}
 [listen]
 frontend = "{host.ip}:{host.caller_port}"
 ready = "{host.ip}:{host.ready_port}"
@@ -526,11 +531,17 @@
         return path
 
     async def start_router(
-        self, name, bounds="", store=None, link_mbps=1000, restore_depth_s=0.0
+        self,
+        name,
+        bounds="",
+        store=None,
+        link_mbps=1000,
+        restore_depth_s=0.0,
+        zone="z1",
     ):
         """Start a router in a task; its log goes to a file in the folder."""
         host = RouterAddresses.choose()
-        path = self.write_settings(name, host, bounds, store, link_mbps)
+        path = self.write_settings(name, host, bounds, store, link_mbps, zone)
         log = os.open(self._folder / f"{name}.log", os.O_CREAT | os.O_WRONLY)
         loop = asyncio.get_running_loop()
         app = Application(loop, str(path), read_clock(), log, restore_depth_s)
