router: cold servers get a limited number of requests from all routers together

A server that is cold (coldPerS, coldStartS, coldLeftMs, X-Cold-Ms) crashes well above coldPerS x coldOvershoot + coldTolerance requests in a second; routers sent without regard to that. ColdServers divides half of the limit among few routers, so that two halves of a split fleet stay within it together; a router that starts sends nothing there for 2 s. Permits are counted as for announced limits (PermitBucket), and the admission queue sees both as one limit (RateLimits).

--- a/bronzesail/model/_types.py
+++ b/bronzesail/model/_types.py
@@ -53,12 +53,20 @@
 
 @attrs.frozen(kw_only=True)
 class Service:
-    """A set of backend servers that serve the same routes."""
+    """A set of backend servers that serve the same routes.
+
+    A server is cold for `cold_start_s` after its start. While it is cold it accepts
+    about `cold_rate_per_s` requests a second from all routers together; 0 means that
+    there is no limit. `malformed` names ignored fields.
+    """
 
     name: str
     health_path: str
     max_connections: int
     engine: Engine | None = None
+    cold_start_s: float = 0.0
+    cold_rate_per_s: float = 0.0
+    malformed: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -128,7 +136,8 @@
     """One start of a backend server, as the directory lists it.
 
     `version` is that of its software; streams of two versions do not fit together. It
-    is empty in the list of a router whose build does not know versions.
+    is empty in the list of a router whose build does not know versions. `cold_left_s`
+    is negative if the entry's value is malformed.
     """
 
     id: str
@@ -184,7 +193,8 @@
     this router for that many seconds. `max_rate_per_s` is the requests a second that it
     accepts from all routers together, None without a limit. `max_rejected_per_s` is the
     requests a second that it can reject without falling over, None if it is not
-    brittle. `store_era` is sent by the
+    brittle. `cold_left_s` is how long the server stays cold, None if it is not stated.
+    `store_era` is sent by the
     store only, and rises whenever it comes back from an older copy. `malformed` names
     ignored headers.
     """
@@ -202,19 +212,28 @@
     pause_s: float | None = None
     max_rate_per_s: float | None = None
     max_rejected_per_s: float | None = None
+    cold_left_s: float | None = None
     malformed: tuple[str, ...] = ()
     store_era: int | None = None
 
 
 @attrs.frozen(kw_only=True)
 class Bounds:
-    """Time limits that the operators set for the whole fleet."""
+    """Limits that the operators set for the whole fleet.
+
+    A cold server of a service gets at most the service's cold rate times
+    `cold_overshoot`, plus `cold_tolerance`, requests in any second. `malformed` names
+    ignored fields.
+    """
 
     drain_s: float
     grace_s: float
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
+    cold_overshoot: float = 1.0
+    cold_tolerance: float = 0.0
+    malformed: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/bronzesail/platform/_answers.py
+++ b/bronzesail/platform/_answers.py
@@ -21,9 +21,11 @@
 # What servers and the store say of themselves; each may occur more than once.
 REPORT_HEADERS = {
     b"server-leaving", b"server-limit", b"server-brittle", b"retry-after", b"store-era",
+    b"x-cold-ms",
 }  # fmt: skip
 DECIMAL_NUMBER = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?")
 MAX_LOAD_DIGITS = 6  # Of a reported number of requests; servers have some dozens.
+MAX_COLD_MS = 3_600_000  # Longer times are malformed.
 MAX_ERA = 1_000_000_000  # The store's era rises by one with each restore.
 # Statuses that guarantee callers that the request was not and will not be executed.
 NOT_EXECUTED_STATUSES = {408, 421, 429, 503}
@@ -70,6 +72,7 @@
             pause_s=self._read_pause_s(malformed) if status == 503 else None,
             max_rate_per_s=self._read_lowest("Server-Limit", malformed),
             max_rejected_per_s=self._read_lowest("Server-Brittle", malformed),
+            cold_left_s=self._read_cold_left_s(malformed),
             store_era=self._read_store_era(malformed),
             malformed=tuple(malformed),
         )
@@ -105,6 +108,16 @@
             lowest = number if lowest is None else min(lowest, number)
         return lowest
 
+    def _read_cold_left_s(self, malformed: list[str]) -> float | None:
+        """Return the longest time in X-Cold-Ms, None if there is no valid one."""
+        longest_ms: float | None = None
+        for value in self._values_by_name.get(b"x-cold-ms", []):
+            if DECIMAL_NUMBER.fullmatch(value) is None or float(value) > MAX_COLD_MS:
+                malformed.append("X-Cold-Ms")
+                continue
+            longest_ms = max(longest_ms or 0.0, float(value))
+        return None if longest_ms is None else longest_ms / 1000
+
     def _read_store_era(self, malformed: list[str]) -> int | None:
         """Return the era of the store, None if it is missing or not certain."""
         values = set(self._values_by_name.get(b"store-era", []))
--- a/bronzesail/platform/_configuration.py
+++ b/bronzesail/platform/_configuration.py
@@ -16,6 +16,7 @@
 from ._fields import (
     MalformedError,
     decode_object,
+    read_amount,
     read_entries,
     read_int,
     read_map,
@@ -34,6 +35,8 @@
     "streaming": RequestKind.STREAM,
 }
 
+MAX_COLD_S = 3600.0  # Longer times are malformed.
+
 
 def decode_configuration(body: bytes) -> Configuration:
     """Return the configuration that `body` holds.
@@ -100,11 +103,15 @@
 
 def _decode_service(fields: dict[str, Any]) -> Service:
     engine = fields.get("engine")
+    malformed: list[str] = []
     return Service(
         name=read_text(fields, "name"),
         health_path=str(fields.get("healthPath") or "/"),
         max_connections=read_int(fields, "maxConns", 100),
         engine=_decode_engine(read_map(fields, "engine")) if engine else None,
+        cold_start_s=read_amount(fields, "coldStartS", 0.0, malformed, MAX_COLD_S),
+        cold_rate_per_s=read_amount(fields, "coldPerS", 0.0, malformed),
+        malformed=tuple(malformed),
     )
 
 
--- a/bronzesail/platform/_fields.py
+++ b/bronzesail/platform/_fields.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 import msgspec
@@ -10,6 +11,7 @@
     "MalformedError",
     "decode_object",
     "read_address",
+    "read_amount",
     "read_entries",
     "read_int",
     "read_map",
@@ -70,6 +72,29 @@
     return int(value)
 
 
+def read_amount(
+    fields: dict[str, Any],
+    name: str,
+    default: float,
+    malformed: list[str],
+    max_value: float = math.inf,
+) -> float:
+    """Return a number of at least 0, or `default` if the field is missing.
+
+    A value that is no such number, or above `max_value`, counts as missing and its name
+    is added to `malformed`.
+    """
+    value = fields.get(name, default)
+    if (
+        isinstance(value, bool)
+        or not isinstance(value, (int, float))
+        or not 0 <= value <= min(MAX_INT, max_value)  # Also False for a NaN.
+    ):
+        malformed.append(name)
+        return default
+    return float(value)
+
+
 def read_map(fields: dict[str, Any], name: str) -> dict[str, Any]:
     """Return a field that holds an object."""
     value = fields.get(name)
--- a/bronzesail/platform/_servers.py
+++ b/bronzesail/platform/_servers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from ..model import BackendServer
 from ._fields import (
     MalformedError,
@@ -13,6 +15,9 @@
 
 __all__ = ["decode_server"]
 
+MAX_COLD_S = 3600.0  # Longer times are malformed.
+MALFORMED_TIME_S = -1.0
+
 
 def decode_server(server_id: str, value: bytes) -> BackendServer:
     """Decode the entry of a backend server.
@@ -41,13 +46,21 @@
         zone=read_text(fields, "zone"),
         slots=slots,
         is_draining=state == "draining",
-        # "coldLeftMs" is the remaining time in which a started server is still slow.
-        cold_left_s=read_int(fields, "coldLeftMs", 0) / 1000,
+        cold_left_s=_read_cold_left_s(fields),
         # "born" is the time of the server's start in milliseconds.
         born_ms=read_int(fields, "born", 0),
     )
 
 
+def _read_cold_left_s(fields: dict[str, Any]) -> float:
+    """Return the remaining time in which a server is cold, negative if malformed."""
+    value = fields.get("coldLeftMs", 0)
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        return MALFORMED_TIME_S
+    cold_left_s = read_int(fields, "coldLeftMs") / 1000
+    return cold_left_s if 0 <= cold_left_s <= MAX_COLD_S else MALFORMED_TIME_S
+
+
 def encode_report_request(server: BackendServer) -> bytes:
     """Return the request by which a model engine is asked for its state.
 
--- a/bronzesail/platform/_settings.py
+++ b/bronzesail/platform/_settings.py
@@ -6,7 +6,14 @@
 from typing import Any
 
 from ..model import Bounds, HostSettings, StoreSettings
-from ._fields import MalformedError, read_address, read_int, read_map, read_text
+from ._fields import (
+    MalformedError,
+    read_address,
+    read_amount,
+    read_int,
+    read_map,
+    read_text,
+)
 
 __all__ = ["SETTINGS_PATH_VARIABLE", "decode_settings"]
 
@@ -50,12 +57,17 @@
 
 
 def _decode_bounds(fields: dict[str, Any]) -> Bounds:
+    malformed: list[str] = []
     return Bounds(
         drain_s=float(fields.get("drainMs", 3000)) / 1000,
         grace_s=float(fields.get("graceS", 8)),
         retry_ratio=float(fields.get("retryBudgetRatio", 0.2)),
         retry_slack=float(fields.get("budgetSlack", 50)),
         retry_window_s=float(fields.get("budgetWindowS", 10)),
+        # Without these a cold server gets no more than its service's cold rate.
+        cold_overshoot=read_amount(fields, "coldOvershoot", 1.0, malformed),
+        cold_tolerance=read_amount(fields, "coldTolerance", 0.0, malformed),
+        malformed=tuple(malformed),
     )
 
 
--- a/bronzesail/router/admission_queue.py
+++ b/bronzesail/router/admission_queue.py
@@ -18,8 +18,8 @@
 if TYPE_CHECKING:
     from .brittle_servers import BrittleServers
     from .directory import Directory
+    from .pacing import RateLimit
     from .placement import Placement
-    from .server_limits import ServerLimits
     from .server_lives import ServerLives
 
 __all__ = ["AdmissionQueue"]
@@ -53,8 +53,8 @@
         The usable servers.
     placement : Placement
         Tracks the servers' loads and chooses among them.
-    limits : ServerLimits
-        The request rates that servers have announced.
+    limits : RateLimit
+        The request rates of servers that have announced one or are cold.
     brittle : BrittleServers
         The room at servers that must not reject many requests.
     lives : ServerLives
@@ -65,7 +65,7 @@
         self,
         directory: Directory,
         placement: Placement,
-        limits: ServerLimits,
+        limits: RateLimit,
         brittle: BrittleServers,
         lives: ServerLives,
     ) -> None:
--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -7,6 +7,7 @@
 import random
 import signal
 import sys
+import time
 from typing import TYPE_CHECKING
 
 import uvloop
@@ -36,6 +37,7 @@
 )
 from .metrics import Metrics
 from .neighbourhood import Neighbourhood
+from .pacing import ColdServers, RateLimits
 from .peer_sync import PeerSync
 from .peers import Peer, Peers
 from .placement import Placement
@@ -171,6 +173,16 @@
         self.limits = ServerLimits(
             read_clock, settings.host, self.neighbourhood.list_nearest
         )
+        self.cold = ColdServers(
+            loop.time,
+            lambda: time.time() * 1000,
+            settings.host,
+            self.neighbourhood.list_nearest,
+            self.configuration.find_service,
+            self.directory,
+            settings.bounds.cold_overshoot,
+            settings.bounds.cold_tolerance,
+        )
         self.brittle = BrittleServers(
             read_clock,
             settings.host,
@@ -180,7 +192,11 @@
         self.pool = ClientPool(loop)
         self.lives = ServerLives(loop, self.log, self.pool, self.directory)
         self.line = AdmissionQueue(
-            self.directory, self.placement, self.limits, self.brittle, self.lives
+            self.directory,
+            self.placement,
+            RateLimits(self.limits, self.cold),
+            self.brittle,
+            self.lives,
         )
         self.book = BudgetBook(
             settings.host,
@@ -272,6 +288,7 @@
             desk=self.desk,
             neighbourhood=self.neighbourhood,
             limits=self.limits,
+            cold=self.cold,
             stream_lookup=self.stream_lookup,
             links=self.links,
             brittle=self.brittle,
@@ -389,6 +406,7 @@
             callers=f"{settings.caller_address[0]}:{settings.caller_address[1]}",
             internal=f"{self.internal_address[0]}:{self.internal_address[1]}",
             seeds=[ip for ip, _ in settings.seeds],
+            malformed=self.settings.bounds.malformed,
             disabled=sorted(feature.value for feature in self._disabled_features),
         )
 
@@ -503,6 +521,13 @@
                 if account.prepaid_tokens is not None
             }
         )
+        for service in configuration.services.values():
+            if service.malformed:
+                self.log.write(
+                    "config: malformed fields ignored",
+                    service=service.name,
+                    fields=service.malformed,
+                )
         self.keeper.request_renewal()
         self.peers.send_hello()
 
@@ -518,6 +543,8 @@
         self.placement.retain_only(self.directory.list_ids())
         self.limits.retain_only(self.directory.list_ids())
         self.brittle.retain_only(self.directory.list_ids())
+        for server in self.cold.note_servers(self.directory.list_all()):
+            self.services.log_cold(server)
         self._note_versions()
         self.lives.check()
         for service in self.directory.list_services():
--- a/bronzesail/router/connecting.py
+++ b/bronzesail/router/connecting.py
@@ -115,6 +115,7 @@
             services.lives.note_silent(connection)
             return True
         self._asked_server_ids.append(server.id)
+        services.cold.take_permit(server)  # The question is a request, too.
 
         def on_head(head: AnswerHead) -> None:
             services.note_answer_head(server, head)
--- a/bronzesail/router/server_limits.py
+++ b/bronzesail/router/server_limits.py
@@ -16,6 +16,8 @@
 import attrs
 import msgspec
 
+from .pacing import PermitBucket
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
 
@@ -37,7 +39,6 @@
 # Without any answer of a server for this long, its sharers may have no callers; then
 # all routers share the limit.
 UNCONFIRMED_S = 30.0
-SHARE_CACHE_S = 0.25  # How long a computed share is used.
 
 
 class LimitReport(msgspec.Struct, frozen=True, array_like=True):
@@ -74,24 +75,15 @@
     noted_at : float
         When the limit last changed here, or an answer last gave cause to report it
         again.
-    share_per_s : float
-        Requests a second that this router may send.
-    computed_at : float
-        When the share was computed.
-    permits : float
-        Requests that this router may send now.
-    updated_at : float
-        When the permits were counted.
+    bucket : PermitBucket
+        This router's permits.
     """
 
     born_ms: int
     rate_per_s: float | None
     heard_at: float
     noted_at: float
-    share_per_s: float = 0.0
-    computed_at: float = -math.inf
-    permits: float = 0.0
-    updated_at: float = 0.0
+    bucket: PermitBucket = attrs.field(factory=PermitBucket)
 
 
 class ServerLimits:
@@ -160,10 +152,10 @@
         if report.rate_per_s == known.rate_per_s:
             return False
         if known.rate_per_s is None:
-            known.share_per_s = 0.0
+            known.bucket.share_per_s = 0.0
         known.rate_per_s = report.rate_per_s
         known.noted_at = now
-        known.computed_at = -math.inf
+        known.bucket.computed_at = -math.inf
         return True
 
     def list_reports(self, *, include_all: bool = False) -> list[LimitReport]:
@@ -204,8 +196,10 @@
         if self.find_rate(server) is None:
             return None
         known = self._announcements[server.id]
-        self._count_permits(server, known)
-        return known.share_per_s
+        known.bucket.update(
+            self._now(), lambda: self._compute_share(server, known), BURST_S
+        )
+        return known.bucket.share_per_s
 
     def find_wait_s(self, server: BackendServer) -> float:
         """Return the time until this router may send the next request to a server.
@@ -213,31 +207,14 @@
         This is 0 if it may send one now, and infinite if it has no share of the
         server's limit.
         """
-        share_per_s = self.find_share(server)
-        if share_per_s is None:
+        if self.find_share(server) is None:
             return 0.0
-        if not share_per_s:
-            return math.inf
-        return max(0.0, 1 - self._announcements[server.id].permits) / share_per_s
+        return self._announcements[server.id].bucket.find_wait_s()
 
     def take_permit(self, server: BackendServer) -> None:
         """Record that a request is about to be sent to a server."""
         if self.find_share(server) is not None:
-            self._announcements[server.id].permits -= 1
-
-    def _count_permits(self, server: BackendServer, known: _Announcement) -> None:
-        """Add the permits of the time since the last count."""
-        now = self._now()
-        if now - known.computed_at >= SHARE_CACHE_S:
-            share_per_s = self._compute_share(server, known)
-            if not known.share_per_s:
-                # A new sharer has saved up nothing.
-                known.permits, known.updated_at = min(0.0, known.permits), now
-            known.share_per_s, known.computed_at = share_per_s, now
-        added = (now - known.updated_at) * known.share_per_s
-        most = max(1.0, known.share_per_s * BURST_S)
-        known.permits = min(most, known.permits + added)
-        known.updated_at = now
+            self._announcements[server.id].bucket.take()
 
     def _compute_share(self, server: BackendServer, known: _Announcement) -> float:
         """Return the requests a second that this router may send to a server."""
--- a/bronzesail/router/services.py
+++ b/bronzesail/router/services.py
@@ -23,6 +23,7 @@
 from .messages import ServerFull
 from .metrics import Metrics
 from .neighbourhood import Neighbourhood
+from .pacing import ColdServers
 from .placement import Placement
 from .poison import PoisonList
 from .reservation_queue import ReservationQueue
@@ -66,6 +67,7 @@
     desk: ReservationQueue
     neighbourhood: Neighbourhood
     limits: ServerLimits
+    cold: ColdServers
     stream_lookup: StreamLookup
     links: ServerLinks
     brittle: BrittleServers
@@ -128,6 +130,8 @@
         if head.status == 421:
             return
         self._note_limit(server, head)
+        if self.cold.note_answer(server, head.cold_left_s):
+            self.log_cold(server)
         self._note_brittle(server, head)
         if head.is_leaving and self.directory.note_leaving(server):
             self.log.write("server: leaving by its own word", server=server.id)
@@ -138,6 +142,17 @@
             )
             self.admission_queue.note_pause(server.service, ends_at)
 
+    def log_cold(self, server: BackendServer) -> None:
+        """Log that a server is cold from now on."""
+        self.log.write(
+            "cold: server is cold",
+            server=server.id,
+            service=server.service,
+            born_ms=server.born_ms,
+            for_s=round(self.cold.find_cold_left_s(server), 3),
+            share_per_s=self.cold.find_share(server),
+        )
+
     def _note_limit(self, server: BackendServer, head: AnswerHead) -> None:
         """Record the limit that an answer names, or that it names none.
 
--- a/bronzesail/router/watches.py
+++ b/bronzesail/router/watches.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..model import BackendServer, Configuration, Row, RowsAnswer
+    from ..model import BackendServer, Configuration, Row, RowsAnswer, Service
     from .directory import Directory
     from .log import Log
     from .store import StoreClient
@@ -77,6 +77,10 @@
         """Version of the current configuration, 0 if there is none."""
         return 0 if self.current is None else self.current.version
 
+    def find_service(self, name: str) -> Service | None:
+        """Return a service of the current configuration, None if there is none."""
+        return None if self.current is None else self.current.services.get(name)
+
     def apply_if_newer(self, body: bytes, source: str) -> None:
         """Decode a configuration and apply it if it is newer than the current one."""
         try:
@@ -406,10 +410,13 @@
     def _decode(self, row: Row) -> BackendServer | None:
         """Return the server of an entry; None, and no longer use it, if malformed."""
         try:
-            return decode_server(row.key, row.value)
+            server = decode_server(row.key, row.value)
         except ValueError as error:
             self._directory.remove(row.key)
             self._log.write(
                 "directory: malformed entry", server=row.key, error=str(error)
             )
             return None
+        if server.cold_left_s < 0:
+            self._log.write("cold: malformed time ignored", server=row.key)
+        return server
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -294,3 +294,53 @@
 def test_arbitrary_text_raises_only_value_errors_in_decode_settings(text):
     with pytest.raises(ValueError):
         decode_settings(text)
+
+
+@pytest.mark.parametrize(
+    ("value", "cold_left_s"),
+    [(1500, 1.5), (0, 0.0), (-1, -1.0), ("soon", -1.0), (True, -1.0), (3_600_001, -1)],
+)
+def test_malformed_cold_time_of_an_entry_is_ignored(value, cold_left_s):
+    entry = json.dumps(ENTRY | {"coldLeftMs": value}).encode()
+    assert decode_server("i-1", entry).cold_left_s == cold_left_s
+
+
+@pytest.mark.parametrize(
+    ("values", "cold_left_s", "is_malformed"),
+    [
+        ([], None, False),
+        ([b"0"], 0.0, False),
+        ([b"1500", b"20"], 1.5, False),
+        ([b"-1"], None, True),
+        ([b"nan"], None, True),
+        ([b"3600001"], None, True),
+        ([b"9" * 5000, b"1000"], 1.0, True),
+    ],
+)
+def test_cold_time_of_an_answer_is_read(values, cold_left_s, is_malformed):
+    reader = AnswerHeadReader()
+    for value in values:
+        reader.add(b"X-Cold-Ms", value)
+    head = reader.finish(200)
+    assert head.cold_left_s == cold_left_s
+    assert head.malformed == (("X-Cold-Ms",) if is_malformed else ())
+
+
+@pytest.mark.parametrize(
+    ("fields", "expected", "malformed"),
+    [
+        ({}, (0.0, 0.0), ()),
+        ({"coldStartS": 3.0, "coldPerS": 10.5}, (3.0, 10.5), ()),
+        ({"coldStartS": 3601, "coldPerS": 1}, (0.0, 1.0), ("coldStartS",)),
+        ({"coldStartS": 3, "coldPerS": -1}, (3.0, 0.0), ("coldPerS",)),
+        ({"coldStartS": "3", "coldPerS": None}, (0.0, 0.0), ("coldStartS", "coldPerS")),
+    ],
+)
+def test_malformed_cold_fields_of_a_service_are_ignored(fields, expected, malformed):
+    body = make_configuration()
+    body["services"][0] |= fields
+    service = next(
+        iter(decode_configuration(json.dumps(body).encode()).services.values())
+    )
+    assert (service.cold_start_s, service.cold_rate_per_s) == expected
+    assert service.malformed == malformed
--- /dev/null
+++ b/tests/test_router/test_cold_servers.py
@@ -0,0 +1,260 @@
+"""The requests that a cold server gets, from all routers together."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import math
+import random
+
+import pytest
+
+from bronzesail.model import Service
+from bronzesail.router.admission_queue import AdmissionQueue
+from bronzesail.router.directory import Directory
+from bronzesail.router.pacing import ColdServers
+from bronzesail.router.placement import Placement, Work
+from tests.router_fakes import (
+    ManualClock,
+    make_brittle_servers,
+    make_server,
+    make_server_lives,
+)
+
+START_S = 3.0
+SERVICE = Service(
+    name="s", health_path="/", max_connections=9, cold_start_s=START_S,
+    cold_rate_per_s=10.0,
+)  # fmt: skip
+LIMIT = 20  # 10 per second, times 1.5, plus 5.
+SERVER = make_server("a", born_ms=1, cold_left_s=60.0)
+STEP_S = 0.02
+MAX_DELAY_S = 0.2  # From the choice of a server until the request arrives there.
+SETTLED_S = 2.0
+
+
+def make_cold_servers(
+    clock, directory, list_sharers=None, service=SERVICE, host="h1", **changes
+):
+    return ColdServers(
+        clock,
+        lambda: 1_000_000_000.0 + clock() * 1000,
+        host,
+        list_sharers or (lambda *_: ["h1"]),
+        lambda _: service,
+        directory,
+        1.5,
+        5.0,
+        **changes,
+    )
+
+
+class Fleet:
+    """Routers that each send a cold server all that they may."""
+
+    def __init__(self, n_routers, seed=1):
+        self.clock = ManualClock()
+        self.random = random.Random(seed)
+        self.directory = Directory(self.clock)
+        self.directory.put(SERVER)
+        self.hosts = [f"h{number}" for number in range(n_routers)]
+        self.seen = {host: set(self.hosts) for host in self.hosts}
+        self.routers = {}
+        for host in self.hosts:
+            self.start(host)
+        self.arrivals = []
+
+    def start(self, host):
+        """Start a router, or restart it without its state."""
+        cold = make_cold_servers(
+            self.clock, self.directory, lambda *args: self.rank(host, *args), host=host
+        )
+        self.routers[host] = cold
+
+    def rank(self, own, subject, _zone, n_most, _silence_s):
+        def hash_host(host):
+            return hashlib.blake2b(f"{subject}{host}".encode()).digest()
+
+        return sorted(self.seen[own], key=hash_host)[:n_most]
+
+    def run(self, for_s, each_step=lambda: None):
+        end_at = self.clock.now + for_s
+        while self.clock.now < end_at:
+            self.clock.now += STEP_S
+            each_step()
+            for cold in self.random.sample(
+                list(self.routers.values()), len(self.routers)
+            ):
+                while cold.find_wait_s(SERVER) == 0:
+                    cold.take_permit(SERVER)
+                    delay_s = self.random.uniform(0, MAX_DELAY_S)
+                    self.arrivals.append(self.clock.now + delay_s)
+
+    def split(self):
+        """Let routers of two halves forget each other, one router after the other."""
+        middle = len(self.hosts) // 2
+        halves = [self.hosts[:middle], self.hosts[middle:]]
+        for half in halves:
+            for host in half:
+                self.seen[host] = set(half)
+                self.run(STEP_S)
+
+    def find_most_in_a_second(self):
+        times = sorted(self.arrivals)
+        return max(sum(at <= other < at + 1.0 for other in times) for at in times)
+
+
+@pytest.mark.parametrize("n_routers", [1, 2, 7, 68])
+def test_a_cold_server_gets_no_more_than_its_limit_and_a_good_part_of_it(n_routers):
+    fleet = Fleet(n_routers)
+    fleet.run(20.0)
+    assert fleet.find_most_in_a_second() <= LIMIT
+    # A fleet that is not split leaves half of the limit, and the margin, unused.
+    assert len(fleet.arrivals) >= 0.5 * SERVICE.cold_rate_per_s * (20.0 - SETTLED_S)
+
+
+# Two halves that do not see each other would each use the whole limit.
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("n_routers", [2, 7, 24])
+def test_two_halves_of_a_fleet_keep_to_the_limit_together(n_routers, seed):
+    fleet = Fleet(n_routers, seed)
+    fleet.run(5.0)
+    fleet.split()
+    fleet.run(10.0)
+    assert fleet.find_most_in_a_second() <= LIMIT
+
+
+# A router that has just started knows no other, and would take the whole limit.
+@pytest.mark.parametrize("is_split", [False, True])
+def test_routers_that_restart_keep_to_the_limit(is_split):
+    fleet = Fleet(12)
+    fleet.run(3.0)
+    if is_split:
+        fleet.split()
+    views = {host: set(seen) for host, seen in fleet.seen.items()}
+
+    def restart_some():
+        for host, seen in views.items():
+            if fleet.random.random() < 0.02:
+                fleet.start(host)
+                fleet.seen[host] = {host}
+            elif fleet.random.random() < 0.05:
+                fleet.seen[host] = seen
+
+    fleet.run(15.0, restart_some)
+    assert fleet.find_most_in_a_second() <= LIMIT
+
+
+def test_a_limit_that_cannot_be_divided_allows_nothing():
+    clock = ManualClock()
+    service = Service(
+        name="s", health_path="/", max_connections=9, cold_start_s=9, cold_rate_per_s=1
+    )
+    cold = ColdServers(
+        clock, lambda: 0.0, "h1", lambda *_: ["h1"], lambda _: service,
+        Directory(clock), 1.0, 0.5,
+    )  # fmt: skip
+    clock.now += SETTLED_S
+    assert cold.find_wait_s(make_server("a")) == service.cold_start_s
+
+
+def note(cold, directory, server):
+    directory.put(server)
+    return [found.id for found in cold.note_servers(directory.list_all())]
+
+
+def test_a_new_life_and_an_entry_that_returns_count_as_cold():
+    clock = ManualClock()
+    directory = Directory(clock)
+    cold = make_cold_servers(clock, directory)
+    old = make_server("a", born_ms=1)
+    assert note(cold, directory, old) == []  # Found at the router's start.
+    clock.now += 1
+    life = make_server("a", born_ms=2)
+    assert note(cold, directory, life) == ["a"]
+    clock.now += START_S
+    assert cold.find_cold_left_s(life) == 0
+    directory.remove("a")
+    assert note(cold, directory, life) == ["a"]
+
+
+def test_a_router_that_starts_treats_young_servers_as_cold():
+    clock = ManualClock()
+    directory = Directory(clock)
+    now_ms = int(1_000_000_000 + clock() * 1000)
+    young = make_server("young", born_ms=now_ms - 1000)
+    ahead = make_server("ahead", born_ms=now_ms + 60_000)  # Its clock is set ahead.
+    directory.put(make_server("old", born_ms=now_ms - 60_000))
+    directory.put(young)
+    cold = make_cold_servers(clock, directory)
+    assert note(cold, directory, ahead) == ["young", "ahead"]
+    assert 0 < cold.find_cold_left_s(young) <= START_S
+
+
+# An entry that is written again unchanged says that the server is still cold.
+def test_an_entry_that_is_renewed_extends_the_cold_time():
+    clock = ManualClock()
+    directory = Directory(clock)
+    cold = make_cold_servers(clock, directory)
+    server = make_server("a", born_ms=1, cold_left_s=5.0)
+    note(cold, directory, server)
+    clock.now += 4
+    directory.note_renewed(server)
+    assert cold.find_cold_left_s(server) == 5.0
+
+
+def test_an_answer_and_an_evacuation_that_ends_make_a_server_cold():
+    clock = ManualClock()
+    directory = Directory(clock)
+    taken_back_at = {}
+    cold = make_cold_servers(
+        clock,
+        directory,
+        get_taken_back_at=lambda key: taken_back_at.get(key, -math.inf),
+    )
+    server = make_server("a", born_ms=1)
+    note(cold, directory, server)
+    assert not cold.note_answer(make_server("a", born_ms=0), 2.0)  # Of an earlier life.
+    assert cold.note_answer(server, 2.0)
+    assert not cold.note_answer(server, 0.5)
+    assert cold.find_cold_left_s(server) == 2.0
+    clock.now += 2
+    assert cold.find_cold_left_s(server) == 0
+    taken_back_at["a"] = clock.now
+    assert cold.find_cold_left_s(server) == START_S
+
+
+def test_without_a_cold_rate_there_is_no_limit():
+    clock = ManualClock()
+    plain = Service(name="s", health_path="/", max_connections=9)
+    cold = make_cold_servers(clock, Directory(clock), service=plain)
+    assert (cold.find_wait_s(SERVER), cold.find_share(SERVER)) == (0.0, None)
+
+
+# Sends that fail at once, and are repeated, would get past a limit on first sends.
+def test_retries_use_up_permits_as_first_sends_do():
+    async def run():
+        loop = asyncio.get_running_loop()
+        directory = Directory(loop.time)
+        directory.put(SERVER)
+        cold = make_cold_servers(loop.time, directory)
+        cold._settled_at = loop.time()
+        placement = Placement(loop.time, "z1", {"z1": "r1"})
+        queue = AdmissionQueue(
+            directory,
+            placement,
+            cold,
+            make_brittle_servers(loop.time),
+            make_server_lives(loop.time, directory),
+        )
+        n_sends = 0
+        until = loop.time() + 1.0
+        while loop.time() < until:
+            server = await queue.find_server("s", Work(), None, [], 1, until)
+            if server is not None:
+                n_sends += 1
+                placement.note_assignment_ended(server.id)
+                placement.note_failure(server.id)
+        assert 2 <= n_sends <= LIMIT / 2
+
+    asyncio.run(run())
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -732,9 +732,9 @@
     ),
     Mutant(
         "a new sharer of a limit has saved up nothing",
-        "bronzesail/router/server_limits.py",
-        "known.permits, known.updated_at = min(0.0, known.permits), now",
-        "known.permits, known.updated_at = 5.0, now",
+        "bronzesail/router/pacing/_permits.py",
+        "self.permits, self.updated_at = min(0.0, self.permits), now",
+        "self.permits, self.updated_at = 5.0, now",
         LIMIT_TESTS,
     ),
     Mutant(
