router: servers that started or recovered are paced by how they respond

A fixed ramp of 1 s and a fixed cost of 0.3 s either overloaded such a server or left it idle. ServerPace gives it a window of requests from all routers, which these divide by rank; it grows with answers that are as fast as those of the peers, and with time where there are none, and shrinks with slow answers, rejections and more failures than usual.

--- a/bronzesail/router/admission_queue.py
+++ b/bronzesail/router/admission_queue.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from .brittle_servers import BrittleServers
     from .directory import Directory
-    from .pacing import RateLimit
+    from .pacing import RateLimit, ServerPace
     from .placement import Placement
     from .server_lives import ServerLives
 
@@ -59,6 +59,8 @@
         The room at servers that must not reject many requests.
     lives : ServerLives
         The servers whose version is in doubt, which no stream may go on at.
+    pace : ServerPace, optional
+        The room at servers that have started or recovered.
     """
 
     def __init__(
@@ -68,12 +70,14 @@
         limits: RateLimit,
         brittle: BrittleServers,
         lives: ServerLives,
+        pace: ServerPace | None = None,
     ) -> None:
         self._directory = directory
         self._placement = placement
         self._limits = limits
         self._brittle = brittle
         self._lives = lives
+        self._pace = pace
         self._permit_timers: dict[str, asyncio.TimerHandle] = {}
         self._queues: dict[str, list[tuple[int, int, _QueuedRequest]]] = {}
         self._sequence = itertools.count()
@@ -261,11 +265,16 @@
             self._dispatch_at_next_permit(service)
 
     def _dispatch_at_next_permit(self, service: str) -> None:
-        """Dispatch again when a server with a limit accepts the next request."""
+        """Dispatch again when a server with a limit accepts the next request.
+
+        The room at a server that recovers grows with time.
+        """
         waits_s = [
             self._limits.find_wait_s(server)
             for server in self._directory.list_usable(service)
         ]
+        if any(map(self._is_recovering, self._directory.list_usable(service))):
+            waits_s.append(RECHECK_S)
         wait_s = min((w for w in waits_s if 0 < w < math.inf), default=None)
         if wait_s is None:
             return
@@ -275,8 +284,23 @@
         loop = asyncio.get_running_loop()
         self._permit_timers[service] = loop.call_later(wait_s, self.dispatch, service)
 
+    def _is_recovering(self, server: BackendServer) -> bool:
+        """Whether a server has started or recovered and is paced."""
+        return self._pace is not None and self._pace.is_recovering(server)
+
+    def _find_share(self, server: BackendServer) -> float:
+        """Return the share of its usual load that a server gets after a pause."""
+        share = self._directory.withdrawals.compute_share(server)
+        if self._pace is not None and self._pace.is_active(server.service):
+            return math.ceil(share)  # The pace replaces the fixed ramp.
+        return share
+
     def _has_room(self, server: BackendServer) -> bool:
-        """Whether a server that may be brittle has room for one more request."""
+        """Whether a server that is paced or brittle has room for one more request."""
+        paced_room = None if self._pace is None else self._pace.find_room(server)
+        if paced_room is not None:
+            if self._placement.count_own(server.id) >= paced_room:
+                return False
         if not self._brittle.is_brittle(server.service):
             return True
         servers = self._directory.list_usable(server.service)
@@ -317,10 +341,10 @@
                 continue
             if not self._has_room(server):
                 continue
-            share = self._directory.withdrawals.compute_share(server)
+            share = self._find_share(server)
             capacity = server.slots * requests_per_slot * share
             estimated = self._placement.estimate_requests(server.id, now)
-            if 0 < share < 1:
+            if 0 < share < 1 or self._is_recovering(server):
                 # Reports from before the pause say nothing of the load after it.
                 load = self._placement.get_load(server.id)
                 estimated = load.in_flight + load.assigned
--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -12,7 +12,7 @@
 
 import uvloop
 
-from ..model import Limits
+from ..model import Feature, Limits
 from ..platform import SETTINGS_PATH_VARIABLE, decode_settings
 from .admission_queue import AdmissionQueue
 from .answer_memory import AnswerMemory
@@ -37,7 +37,7 @@
 )
 from .metrics import Metrics
 from .neighbourhood import Neighbourhood
-from .pacing import ColdServers, RateLimits
+from .pacing import ColdServers, RateLimits, ServerPace
 from .peer_sync import PeerSync
 from .peers import Peer, Peers
 from .placement import Placement
@@ -64,7 +64,7 @@
 
 if TYPE_CHECKING:
     from ..errors import Refusal
-    from ..model import Configuration, Feature
+    from ..model import Configuration
     from .budget_rows import HolderRow
     from .server_limits import LimitReport
 
@@ -177,12 +177,22 @@
             loop.time,
             lambda: time.time() * 1000,
             settings.host,
+            self._list_cold_sharers,
+            self.configuration.find_service,
+            self.directory,
+            lambda: self.settings.bounds,
+        )
+        self.pace = ServerPace(
+            loop.time,
+            settings.host,
             self.neighbourhood.list_nearest,
             self.configuration.find_service,
             self.directory,
-            settings.bounds.cold_overshoot,
-            settings.bounds.cold_tolerance,
+            self.placement,
+            self.cold.find_cold_left_s,
+            Feature.SERVER_PACE not in self._disabled_features,
         )
+        self.placement.find_start_cost_s = self.pace.find_cost_s
         self.brittle = BrittleServers(
             read_clock,
             settings.host,
@@ -197,6 +207,7 @@
             RateLimits(self.limits, self.cold),
             self.brittle,
             self.lives,
+            self.pace,
         )
         self.book = BudgetBook(
             settings.host,
@@ -268,6 +279,7 @@
             self.placement,
             self.line.dispatch,
             self.peers.send_hello,
+            lambda server: self.services.note_recovered(server, "unreachable"),
         )
         self.services = Services(
             loop=loop,
@@ -289,6 +301,7 @@
             neighbourhood=self.neighbourhood,
             limits=self.limits,
             cold=self.cold,
+            pace=self.pace,
             stream_lookup=self.stream_lookup,
             links=self.links,
             brittle=self.brittle,
@@ -545,11 +558,23 @@
         self.brittle.retain_only(self.directory.list_ids())
         for server in self.cold.note_servers(self.directory.list_all()):
             self.services.log_cold(server)
+        self.pace.note_servers(self.directory.list_all())
         self._note_versions()
         self.lives.check()
         for service in self.directory.list_services():
             self.line.dispatch(service)
 
+    def _list_cold_sharers(
+        self, server_id: str, zone: str, n_most: float, max_silence_s: float
+    ) -> list[str]:
+        """Return the routers that share the limit of a cold server.
+
+        The others replace a router that is draining, so it gives up its share.
+        """
+        if self.is_draining:
+            return []
+        return self.neighbourhood.list_nearest(server_id, zone, n_most, max_silence_s)
+
     def _note_era(self, era: int) -> None:
         """Tell the directory of a restore; a new process only learns the era."""
         if self.era.n_restores:
@@ -675,11 +700,24 @@
                 self.log.write("directory: expired server removed", server=server_id)
                 self._note_versions()
             self.links.check()
+            self._log_pace()
             self.lives.check()
             for service in self.line.list_waiting():
                 self.line.dispatch(service)
             self.book.check_invariant()
 
+    def _log_pace(self) -> None:
+        """Log the servers that are no longer paced."""
+        for ended in self.pace.take_ended():
+            self.log.write(
+                "pace: server at full pace",
+                server=ended.server_id,
+                reason=ended.reason,
+                took_s=round(ended.took_s, 3),
+                answers=ended.n_answers,
+                decreases=ended.n_decreases,
+            )
+
     async def _watch_settings(self) -> None:
         """Poll the settings file for changes."""
         while True:
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -648,13 +648,18 @@
                 placement.note_load_report(server.id, head.running, head.waiting)
             self._services.note_answer_head(server, head)
 
+        def on_begun() -> None:
+            latency_s = self._loop.time() - sent_at
+            self._services.pace.note_answer(server, latency_s, unread_tokens)
+            self._note_begun(server, connection)
+
         relay = Relay(
             self._loop,
             self._caller,
             self._head.request_id,
             self._stream,
             on_head,
-            lambda: self._note_begun(server, connection),
+            on_begun,
             self._services.answer_memory,
         )
         self._connection = connection
--- a/bronzesail/router/gauges.py
+++ b/bronzesail/router/gauges.py
@@ -32,6 +32,8 @@
     set_state("servers_limited", application.limits.count_limited())
     cold = application.cold.count_cold(application.directory.list_all())
     set_state("servers_cold", cold)
+    set_state("servers_paced", application.pace.count_recovering())
+    set_state("pace_decreases", application.pace.n_decreases)
     set_state("services_cut_off", len(application.links.list_cut_off()))
     set_state("streams_known", application.streams.count())
     set_state("server_starts_asked", application.lives.n_asked)
--- a/bronzesail/router/pacing/_cold_servers.py
+++ b/bronzesail/router/pacing/_cold_servers.py
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
 
-    from ...model import BackendServer, Service
+    from ...model import BackendServer, Bounds, Service
     from ..directory import Directory
 
 __all__ = ["ColdServers"]
@@ -91,8 +91,8 @@
         Returns the configuration of a service, None if it is unknown.
     directory : Directory
         The entries of the servers.
-    overshoot, tolerance : float
-        The limit of a service is its cold rate times `overshoot`, plus `tolerance`.
+    get_bounds : callable
+        Returns the operators' bounds, from which the limit follows.
     get_taken_back_at : callable, optional
         Returns when the evacuation of a server's data centre was reverted, ``-inf`` if
         it never was, from the server's id.
@@ -106,8 +106,7 @@
         list_sharers: Callable[[str, str, float, float], Sequence[str]],
         find_service: Callable[[str], Service | None],
         directory: Directory,
-        overshoot: float,
-        tolerance: float,
+        get_bounds: Callable[[], Bounds],
         get_taken_back_at: Callable[[str], float] = lambda _: -math.inf,
     ) -> None:
         self._now = now
@@ -116,8 +115,7 @@
         self._list_sharers = list_sharers
         self._find_service = find_service
         self._directory = directory
-        self._overshoot = overshoot
-        self._tolerance = tolerance
+        self._get_bounds = get_bounds
         self._get_taken_back_at = get_taken_back_at
         self._settled_at = now() + SETTLE_S
         self._has_listing = False
@@ -209,7 +207,8 @@
         service = self._find_service(server.service)
         if service is None or self._now() < self._settled_at:
             return 0.0
-        limit = service.cold_rate_per_s * self._overshoot + self._tolerance
+        bounds = self._get_bounds()
+        limit = service.cold_rate_per_s * bounds.cold_overshoot + bounds.cold_tolerance
         own_limit = limit / N_PARTS
         if own_limit < 1:
             return 0.0  # One request of each part would exceed the limit.
--- a/bronzesail/router/placement.py
+++ b/bronzesail/router/placement.py
@@ -19,7 +19,13 @@
 
     from ..model import BackendServer, Engine
 
-__all__ = ["Load", "Placement", "Work"]
+__all__ = [
+    "COLD_START_COST_S",
+    "PREFILL_RATE_TOKENS_PER_S",
+    "Load",
+    "Placement",
+    "Work",
+]
 
 PREFILL_RATE_TOKENS_PER_S = 50_000.0  # The supported engines reach 48 to 57 per ms.
 # Penalty for prefilling a token that another server has cached, besides the time.
@@ -139,6 +145,13 @@
         Data centre of this host.
     region_by_zone : dict
         Region of each data centre.
+
+    Attributes
+    ----------
+    loads : dict
+        Load of each server by its id.
+    find_start_cost_s : callable
+        Returns the time that a server's answer takes longer after its start.
     """
 
     def __init__(
@@ -148,6 +161,7 @@
         self._zone = zone
         self._region_by_zone = region_by_zone
         self.loads: dict[str, Load] = {}
+        self.find_start_cost_s: Callable[[BackendServer], float] = _find_cold_cost_s
 
     def get_load(self, server_id: str) -> Load:
         """Return the load of a server, creating an empty one for a new server."""
@@ -226,8 +240,7 @@
         load = self.get_load(server.id)
         n_requests = self.estimate_requests(server.id, now)
         cost = self._estimate_distance(server)
-        if server.cold_left_s > 0:
-            cost += COLD_START_COST_S
+        cost += self.find_start_cost_s(server)
         if now - load.failed_at < FAILURE_COST_TTL_S:
             cost += load.failure_share * FAILURE_COST_S
         if engine is None:
@@ -403,3 +416,8 @@
             if rank > best_rank:
                 best_id, best_rank = server.id, rank
         return best_id
+
+
+def _find_cold_cost_s(server: BackendServer) -> float:
+    """Return the same cost for each server that its entry reports as cold."""
+    return COLD_START_COST_S if server.cold_left_s > 0 else 0.0
--- a/bronzesail/router/server_links.py
+++ b/bronzesail/router/server_links.py
@@ -32,6 +32,8 @@
 PROBE_TIMEOUT_S = 0.5
 # By then the hellos of other routers tell whether they reach the service.
 NOTICE_DELAY_S = 0.3
+# All servers of a service are probed within this time once one is reachable again.
+LINK_RECOVERY_S = 3.0
 MAX_COMPARED = 3  # Other servers that tell a crash of one from lost links.
 MAX_PROBED = 8  # Servers that stand for all, if none of them can be reached.
 
@@ -55,6 +57,9 @@
         Called with the name of a service once one of its servers is reachable again.
     on_change : callable
         Called when the services that are out of reach have changed.
+    on_recovered : callable, optional
+        Called with a server that is reachable again, unless its whole service was out
+        of reach lately: then the links were the cause and not the server.
     """
 
     def __init__(
@@ -66,6 +71,7 @@
         placement: Placement,
         on_reachable: Callable[[str], None],
         on_change: Callable[[], None],
+        on_recovered: Callable[[BackendServer], None] = lambda _: None,
     ) -> None:
         self._loop = loop
         self._log = log
@@ -74,6 +80,8 @@
         self._placement = placement
         self._on_reachable = on_reachable
         self._on_change = on_change
+        self._on_recovered = on_recovered
+        self._cut_off_at: dict[str, float] = {}  # When a service was last out of reach.
         self._probed_at: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._check: asyncio.Task[None] | None = None
@@ -273,9 +281,14 @@
         load = self._placement.get_load(server.id)
         if not load.is_unreachable:
             return
+        now = self._loop.time()
+        if self.is_cut_off(server.service):
+            self._cut_off_at[server.service] = now
         load.is_unreachable = False
         self._log.write("server: reachable again", server=server.id)
         self._update()
+        if now - self._cut_off_at.get(server.service, -1e9) > LINK_RECOVERY_S:
+            self._on_recovered(server)
         self._on_reachable(server.service)
 
     async def _probe(self, server: BackendServer) -> None:
--- a/bronzesail/router/services.py
+++ b/bronzesail/router/services.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -23,7 +24,7 @@
 from .messages import ServerFull
 from .metrics import Metrics
 from .neighbourhood import Neighbourhood
-from .pacing import ColdServers
+from .pacing import ColdServers, ServerPace
 from .placement import Placement
 from .poison import PoisonList
 from .reservation_queue import ReservationQueue
@@ -68,6 +69,7 @@
     neighbourhood: Neighbourhood
     limits: ServerLimits
     cold: ColdServers
+    pace: ServerPace
     stream_lookup: StreamLookup
     links: ServerLinks
     brittle: BrittleServers
@@ -140,6 +142,7 @@
             self.log.write(
                 "server: asked for a pause", server=server.id, pause_s=head.pause_s
             )
+            self.note_recovered(server, "pause", ends_at)
             self.admission_queue.note_pause(server.service, ends_at)
 
     def log_cold(self, server: BackendServer) -> None:
@@ -182,6 +185,7 @@
 
     def note_rejected(self, server: BackendServer) -> None:
         """Record that a server has rejected a request for want of room."""
+        self.pace.note_failure(server, is_rejection=True)
         if not self.brittle.is_brittle(server.service):
             return
         n_present = self.placement.count_own(server.id)
@@ -258,6 +262,24 @@
             return
         if self.placement.note_failure(server.id):
             self.log.write("server: ejected", server=server.id, reason=reason)
+            until = self.placement.get_load(server.id).ejected_until
+            self.note_recovered(server, "ejection", until)
+            return
+        self.pace.note_failure(server)
+
+    def note_recovered(
+        self, server: BackendServer, reason: str, at: float = -math.inf
+    ) -> None:
+        """Pace the requests to a server from the time on at which it recovers."""
+        after_s = max(0.0, at - self.loop.time())
+        if self.pace.note_recovered(server, reason, after_s):
+            self.log.write(
+                "pace: server recovers",
+                server=server.id,
+                reason=reason,
+                after_s=round(after_s, 3),
+                room=self.pace.find_room(server),
+            )
 
     def note_ended(
         self,
--- a/tests/test_router/test_cold_servers.py
+++ b/tests/test_router/test_cold_servers.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from bronzesail.model import Service
+from bronzesail.model import Bounds, Service
 from bronzesail.router.admission_queue import AdmissionQueue
 from bronzesail.router.directory import Directory
 from bronzesail.router.pacing import ColdServers
@@ -33,6 +33,13 @@
 SETTLED_S = 2.0
 
 
+def make_bounds(overshoot, tolerance):
+    return Bounds(
+        drain_s=3, grace_s=8, retry_ratio=0.2, retry_slack=50, retry_window_s=10,
+        cold_overshoot=overshoot, cold_tolerance=tolerance,
+    )  # fmt: skip
+
+
 def make_cold_servers(
     clock, directory, list_sharers=None, service=SERVICE, host="h1", **changes
 ):
@@ -43,8 +50,7 @@
         list_sharers or (lambda *_: ["h1"]),
         lambda _: service,
         directory,
-        1.5,
-        5.0,
+        lambda: make_bounds(1.5, 5.0),
         **changes,
     )
 
@@ -152,7 +158,7 @@
     )
     cold = ColdServers(
         clock, lambda: 0.0, "h1", lambda *_: ["h1"], lambda _: service,
-        Directory(clock), 1.0, 0.5,
+        Directory(clock), lambda: make_bounds(1.0, 0.5),
     )  # fmt: skip
     clock.now += SETTLED_S
     assert cold.find_wait_s(make_server("a")) == service.cold_start_s
