--- a/bronzesail/router/services.py
+++ b/bronzesail/router/services.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -23,6 +24,7 @@
 from .messages import ServerFull
 from .metrics import Metrics
 from .neighbourhood import Neighbourhood
+from .pacing import ColdServers, ServerPace
 from .placement import Placement
 from .poison import PoisonList
 from .reservation_queue import ReservationQueue
@@ -66,6 +68,8 @@
     desk: ReservationQueue
     neighbourhood: Neighbourhood
     limits: ServerLimits
+    cold: ColdServers
+    pace: ServerPace
     stream_lookup: StreamLookup
     links: ServerLinks
     brittle: BrittleServers
@@ -134,6 +138,8 @@
         if head.status == 421:
             return
         self._note_limit(server, head)
+        if self.cold.note_answer(server, head.cold_left_s):
+            self.log_cold(server)
         self._note_brittle(server, head)
         if head.is_leaving and self.directory.note_leaving(server):
             self.log.write("server: leaving by its own word", server=server.id)
@@ -142,8 +148,20 @@
             self.log.write(
                 "server: asked for a pause", server=server.id, pause_s=head.pause_s
             )
+            self.note_recovered(server, "pause", ends_at)
             self.admission_queue.note_pause(server.service, ends_at)
 
+    def log_cold(self, server: BackendServer) -> None:
+        """Log that a server is cold from now on."""
+        self.log.write(
+            "cold: server is cold",
+            server=server.id,
+            service=server.service,
+            born_ms=server.born_ms,
+            for_s=round(self.cold.find_cold_left_s(server), 3),
+            share_per_s=self.cold.find_share(server),
+        )
+
     def _note_limit(self, server: BackendServer, head: AnswerHead) -> None:
         """Record the limit that an answer names, or that it names none.
 
@@ -173,6 +191,7 @@
 
     def note_rejected(self, server: BackendServer) -> None:
         """Record that a server has rejected a request for want of room."""
+        self.pace.note_failure(server, is_rejection=True)
         if not self.brittle.is_brittle(server.service):
             return
         n_present = self.placement.count_own(server.id)
@@ -249,6 +268,24 @@
             return
         if self.placement.note_failure(server.id):
             self.log.write("server: ejected", server=server.id, reason=reason)
+            until = self.placement.get_load(server.id).ejected_until
+            self.note_recovered(server, "ejection", until)
+            return
+        self.pace.note_failure(server)
+
+    def note_recovered(
+        self, server: BackendServer, reason: str, at: float = -math.inf
+    ) -> None:
+        """Pace the requests to a server from the time on at which it recovers."""
+        after_s = max(0.0, at - self.loop.time())
+        if self.pace.note_recovered(server, reason, after_s):
+            self.log.write(
+                "pace: server recovers",
+                server=server.id,
+                reason=reason,
+                after_s=round(after_s, 3),
+                room=self.pace.find_room(server),
+            )
 
     def note_ended(
         self,
