--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -94,8 +94,8 @@
     ),
     Mutant(
         "no stream goes on at another life than the entry's",
-        "bronzesail/router/exchange.py",
-        "        if version == self._version:\n            return True\n",
+        "bronzesail/router/connecting.py",
+        "        if found == version:\n            return True\n",
         "        return True\n",
         LIFE_TESTS,
     ),
@@ -150,7 +150,7 @@
     ),
     Mutant(
         "a question that hangs is a failure of the server",
-        "bronzesail/router/exchange.py",
+        "bronzesail/router/connecting.py",
         '            services.note_failure(server, "no response in time")\n',
         "",
         START_TESTS,
@@ -563,9 +563,9 @@
     ),
     Mutant(
         "a hello carries all crash counts",
-        "bronzesail/router/application.py",
-        "crashes=select_crashes(self.poison.export(MAX_HELLO_CRASHES)),",
-        "crashes=self.poison.export(),",
+        "bronzesail/router/hello.py",
+        "crashes=select_crashes(application.poison.export(MAX_HELLO_CRASHES)),",
+        "crashes=application.poison.export(),",
         HELLO_TESTS,
     ),
     Mutant(
