router: servers of evacuated data centres get no requests

Operators evacuate a data centre by a row evacuate/ZONE; until now its servers went on to be chosen. Routers that follow the store read the row with the configuration's table and pass it on in a message of its own, with each hello and at once on a change; the newest version of the store holds.

Found by a test: a process that had read the table after an evacuation was reverted believed a router that was cut off from the store and still reported it. A read of the table now sets the state of all data centres, and such a router is told the newer state.

--- a/bronzesail/model/_types.py
+++ b/bronzesail/model/_types.py
@@ -217,6 +217,8 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
+    # From the evacuation of a data centre until no request reaches a server there.
+    evacuate_s: float = 5.0
 
 
 @attrs.frozen(kw_only=True)
--- a/bronzesail/platform/__init__.py
+++ b/bronzesail/platform/__init__.py
@@ -11,7 +11,12 @@
 )
 from ._servers import decode_server, decode_server_start, encode_report_request
 from ._settings import SETTINGS_PATH_VARIABLE, decode_settings
-from ._store import CONFIGURATION_ROW, SERVER_TABLE, StoreWire
+from ._store import (
+    CONFIGURATION_ROW,
+    SERVER_TABLE,
+    StoreWire,
+    decode_evacuation_key,
+)
 
 __all__ = [
     "CONFIGURATION_ROW",
@@ -20,6 +25,7 @@
     "AnswerHeadReader",
     "StoreWire",
     "decode_configuration",
+    "decode_evacuation_key",
     "decode_server",
     "decode_server_start",
     "decode_settings",
--- a/bronzesail/platform/_settings.py
+++ b/bronzesail/platform/_settings.py
@@ -56,6 +56,7 @@
         retry_ratio=float(fields.get("retryBudgetRatio", 0.2)),
         retry_slack=float(fields.get("budgetSlack", 50)),
         retry_window_s=float(fields.get("budgetWindowS", 10)),
+        evacuate_s=float(fields.get("evacuateMs", 5000)) / 1000,
     )
 
 
--- a/bronzesail/platform/_store.py
+++ b/bronzesail/platform/_store.py
@@ -16,9 +16,17 @@
 
     from ..model import RowCheck, RowKey, RowWrite
 
-__all__ = ["CONFIGURATION_ROW", "SERVER_TABLE", "StoreWire"]
+__all__ = [
+    "CONFIGURATION_ROW",
+    "SERVER_TABLE",
+    "StoreWire",
+    "decode_evacuation_key",
+]
 
 CONFIGURATION_ROW = ("op", "config")
+# A row of the configuration's table with this prefix and a data centre evacuates it,
+# whatever its value is.
+EVACUATION_PREFIX = "evacuate/"
 SERVER_TABLE = "servers"
 JSON_HEADER = b"Content-Type: application/json\r\n"
 
@@ -114,6 +122,13 @@
         )
 
 
+def decode_evacuation_key(key: str) -> str | None:
+    """Return the data centre that a row evacuates, None if it is another row."""
+    if not key.startswith(EVACUATION_PREFIX):
+        return None
+    return key.removeprefix(EVACUATION_PREFIX)
+
+
 def _encode_key(key: RowKey) -> dict[str, str]:
     return {"table": key.table, "part": key.part, "key": key.key}
 
--- a/bronzesail/router/admission_queue.py
+++ b/bronzesail/router/admission_queue.py
@@ -171,14 +171,16 @@
     def note_eligibility_changed(self) -> None:
         """Assign servers after home regions have changed, or data centres evacuated.
 
-        The wait of requests without a usable server ends, if they have home regions.
+        The wait of requests ends that have no usable server for one of these reasons.
         """
         for service in self.list_waiting():
             for _, _, queued in self._queues[service]:
                 regions = queued.find_regions()
-                if regions is None or queued.future.done():
+                if queued.future.done() or self._directory.list_usable(
+                    service, queued.version, regions
+                ):
                     continue
-                if not self._directory.list_usable(service, queued.version, regions):
+                if self._directory.explain_ineligible(service, regions):
                     queued.future.set_result(None)
             self.dispatch(service)
 
--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -23,7 +23,7 @@
 from .clocks import read_clock
 from .crashing_parts import CrashingParts
 from .directory import Directory
-from .eligibility import find_unknown_regions
+from .eligibility import Evacuations, find_unknown_regions
 from .exchange import Exchange
 from .features import DISABLED_FEATURES_VARIABLE, read_disabled_features
 from .forwarding import Forwarder
@@ -158,7 +158,8 @@
         self.era = StoreEra(self.log)
         self.store = StoreClient(loop, settings, self.era, self.log)
         self.configuration = ConfigurationKeeper(self.log, self._apply_configuration)
-        self.directory = Directory(loop.time, settings.region_by_zone)
+        self.evacuations = Evacuations(loop.time, settings.region_by_zone, self.log)
+        self.directory = Directory(loop.time, settings.region_by_zone, self.evacuations)
         self.era.subscribe(self._note_era)
         self.placement = Placement(loop.time, settings.zone, settings.region_by_zone)
         self.neighbourhood = Neighbourhood(
@@ -219,7 +220,10 @@
             self._log_limits,
             lambda message, address: self.stream_lookup.handle(message, address),
             self._note_server_full,
+            self.evacuations,
         )
+        self.evacuations.subscribe(self.peers.send_evacuations)
+        self.evacuations.subscribe(self.line.note_eligibility_changed)
         self.streams = StreamVersions(read_clock)
         self.stream_rows = StreamRows(self.store, self.log, read_clock)
         self.stream_lookup = StreamLookup(
@@ -288,6 +292,7 @@
                 self.log,
                 self._random,
             ),
+            evacuations=self.evacuations,
         )
         self.news = PeerSync(
             loop,
@@ -320,6 +325,7 @@
             self._announce_change,
             self._compute_retry_delay_s,
             self.configuration,
+            self.evacuations,
         )
 
     async def run(self) -> None:
@@ -450,6 +456,7 @@
         return (
             not self.is_draining
             and self.configuration.current is not None
+            and self.evacuations.is_known
             and len(self.directory) > 0
         )
 
@@ -683,6 +690,7 @@
         self.services.settings = settings
         self.services.forwarder.settings = settings
         self.directory.region_by_zone = settings.region_by_zone
+        self.evacuations.zones = settings.region_by_zone
         self.store.settings = settings
         self.log.write("settings: reloaded")
 
--- a/bronzesail/router/directory.py
+++ b/bronzesail/router/directory.py
@@ -8,11 +8,14 @@
 import attrs
 
 from ..model import BackendServer, StoreVersion
+from .eligibility import EvacuationReport
 from .withdrawals import Withdrawals
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
 
+    from .eligibility import Evacuations
+
 __all__ = ["Directory", "Listing"]
 
 # Servers renew the entries that expired in an outage of the store within 2 s of its
@@ -51,12 +54,15 @@
         adds none.
     leaving : dict
         Start of the leaving life of each leaving server, in milliseconds by id.
+    evacuations : list of EvacuationReport
+        Data centres that are or were evacuated.
     """
 
     store_version: StoreVersion
     servers: list[BackendServer]
     lapsed: dict[str, float]
     leaving: dict[str, int] = attrs.field(factory=dict)
+    evacuations: list[EvacuationReport] = attrs.field(factory=list)
 
 
 class Directory:
@@ -68,6 +74,8 @@
         Returns the seconds of a monotonic clock.
     region_by_zone : mapping, optional
         Region of each data centre. Servers of any other data centre are in no region.
+    evacuations : Evacuations, optional
+        The evacuated data centres; none by default.
 
     Attributes
     ----------
@@ -85,8 +93,12 @@
         self,
         now: Callable[[], float],
         region_by_zone: Mapping[str, str] | None = None,
+        evacuations: Evacuations | None = None,
     ) -> None:
         self._now = now
+        self._evacuations = evacuations
+        if evacuations is not None:
+            evacuations.subscribe(self._note_evacuations_changed)
         self.region_by_zone = region_by_zone or {}
         self._servers: dict[str, BackendServer] = {}
         self._grace_ends: dict[str, float] = {}
@@ -129,13 +141,20 @@
             servers=[s for s in self._servers.values() if s.id not in self._grace_ends],
             lapsed={key: until - now for key, until in self._grace_ends.items()},
             leaving=self.withdrawals.list_leaving(),
+            evacuations=[]
+            if self._evacuations is None
+            else self._evacuations.list_reports(include_all=True),
         )
 
     def adopt(self, listing: Listing) -> list[str] | None:
         """Replace the directory by another router's; return the ids of removed servers.
 
-        Returns None, and changes nothing, if the listing is older than the directory.
+        Returns None if the listing is older than the directory. Then only newer reports
+        of evacuations are adopted.
         """
+        if self._evacuations is not None:
+            self._evacuations.merge(listing.evacuations, "listing")
+            self._evacuations.note_read()
         if listing.store_version < self.store_version:
             return None
         self.merge_leaving(listing.leaving)
@@ -293,10 +312,48 @@
         """Whether a server accepts new requests; pauses are not considered."""
         return (
             not server.is_draining
+            and not self._is_evacuated(server)
             and server.id not in self._replaced
             and not self.withdrawals.is_leaving(server)
         )
 
+    def _is_evacuated(self, server: BackendServer) -> bool:
+        """Whether the data centre of a server is evacuated."""
+        evacuations = self._evacuations
+        return evacuations is not None and evacuations.is_evacuated(server.zone)
+
+    def _note_evacuations_changed(self) -> None:
+        """Count a change of the evacuated data centres as one of the directory."""
+        self.generation += 1
+
+    def count_evacuated(self, service: str | None = None) -> int:
+        """Return the number of servers, of a service or of all, that are evacuated."""
+        return sum(
+            self._is_evacuated(server)
+            for server in self._servers.values()
+            if service in (None, server.service)
+        )
+
+    def get_taken_back_at(self, server_id: str) -> float:
+        """Return when the evacuation of a server's data centre was reverted.
+
+        This is ``-inf`` if it never was, or if the server is unknown or evacuated.
+        """
+        server = self._servers.get(server_id)
+        if server is None or self._evacuations is None:
+            return -math.inf
+        return self._evacuations.get_taken_back_at(server.zone)
+
+    def explain_ineligible(self, service: str, regions: frozenset[str] | None) -> str:
+        """Return why no server may be used until operators change something.
+
+        This is empty if home regions and evacuations are not the reason. It is meant
+        for requests for which `list_usable` returns no server.
+        """
+        if self.count_evacuated(service):
+            return "no server outside of evacuated data centres is left"
+        return "" if regions is None else "no server in a home region is left"
+
     def is_in_regions(
         self, server: BackendServer, regions: frozenset[str] | None
     ) -> bool:
--- a/bronzesail/router/eligibility/__init__.py
+++ b/bronzesail/router/eligibility/__init__.py
@@ -2,6 +2,13 @@
 
 from __future__ import annotations
 
+from ._evacuations import EvacuationReport, Evacuations
 from ._regions import HomeRegions, combine_regions, find_unknown_regions
 
-__all__ = ["HomeRegions", "combine_regions", "find_unknown_regions"]
+__all__ = [
+    "EvacuationReport",
+    "Evacuations",
+    "HomeRegions",
+    "combine_regions",
+    "find_unknown_regions",
+]
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -194,7 +194,7 @@
                 ResultCode.DRAINING, retry_after_s=DRAINING_RETRY_AFTER_S
             )
         configuration = self._services.configuration.current
-        if configuration is None:
+        if configuration is None or not self._services.evacuations.is_known:
             raise self._make_refusal_error(
                 ResultCode.NO_BACKEND, retry_after_s=NO_BACKEND_RETRY_AFTER_S
             )
@@ -552,10 +552,13 @@
         """
         usable = self._list_usable()
         if not usable:
-            if self._homes.find() is not None:
+            reason = self._services.directory.explain_ineligible(
+                self._service, self._homes.find()
+            )
+            if reason:
                 raise self._make_refusal_error(
                     ResultCode.NO_BACKEND,
-                    "no server in a home region is left",
+                    reason,
                     retry_after_s=NO_BACKEND_RETRY_AFTER_S,
                 )
             if self._version is not None:
--- a/bronzesail/router/gauges.py
+++ b/bronzesail/router/gauges.py
@@ -31,6 +31,8 @@
     set_state("servers_asked_for_pause", withdrawals.n_pauses)
     set_state("servers_limited", application.limits.count_limited())
     set_state("services_cut_off", len(application.links.list_cut_off()))
+    set_state("zones_evacuated", len(application.evacuations.list_evacuated()))
+    set_state("servers_evacuated", application.directory.count_evacuated())
     set_state("streams_known", application.streams.count())
     set_state("server_starts_asked", application.lives.n_asked)
     set_state("services_brittle", application.brittle.count_brittle())
--- a/bronzesail/router/messages.py
+++ b/bronzesail/router/messages.py
@@ -15,6 +15,7 @@
 from ..model import StoreVersion
 from .brittle_servers import BrittleReport  # noqa: TC001  Decoded at run time.
 from .crashing_parts import PartReport
+from .eligibility import EvacuationReport  # noqa: TC001  Decoded at run time.
 from .poison import CrashCount  # noqa: TC001  Decoded at run time.
 from .server_limits import LimitReport  # noqa: TC001  Decoded at run time.
 from .stream_versions import (  # noqa: TC001  Decoded at run time.
@@ -29,6 +30,7 @@
     "MAX_HELLO_CRASHES",
     "PACKET_BYTES",
     "CrashReport",
+    "EvacuationReports",
     "Hello",
     "LimitReports",
     "ServerFull",
@@ -104,6 +106,12 @@
     reports: list[LimitReport]
 
 
+class EvacuationReports(msgspec.Struct, tag="evacuations"):
+    """Data centres that are evacuated, or were until lately; see `Evacuations`."""
+
+    reports: list[EvacuationReport]
+
+
 class ServerFull(msgspec.Struct, tag="full"):
     """A brittle server has rejected a request for want of room."""
 
--- a/bronzesail/router/peers.py
+++ b/bronzesail/router/peers.py
@@ -19,6 +19,7 @@
 
 from .decoding import decode_datagram
 from .messages import (
+    EvacuationReports,
     Hello,
     LimitReports,
     ServerFull,
@@ -39,6 +40,7 @@
 
     from ..errors import ResultCode
     from .budget import BudgetBook
+    from .eligibility import Evacuations
     from .log import Log
     from .neighbourhood import Neighbourhood
     from .server_limits import LimitReport, ServerLimits
@@ -98,6 +100,8 @@
         Called with each message about streams and the address of its sender.
     on_server_full : callable
         Called with each report of a server that has rejected a request.
+    evacuations : Evacuations
+        The evacuated data centres, which are passed on.
     """
 
     def __init__(
@@ -117,6 +121,7 @@
         on_limits: Callable[[list[LimitReport]], None],
         on_stream_message: Callable[[StreamMessage, tuple[str, int]], None],
         on_server_full: Callable[[ServerFull], None],
+        evacuations: Evacuations,
     ) -> None:
         self._loop = loop
         self._book = book
@@ -131,6 +136,7 @@
         self._on_limits = on_limits
         self._on_stream_message = on_stream_message
         self._on_server_full = on_server_full
+        self._evacuations = evacuations
         self._reply_tasks: dict[str, asyncio.Task[None]] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._sequence = itertools.count(1)
@@ -140,6 +146,7 @@
         self._confirmations: dict[str, asyncio.Future[None]] = {}
         self._message_decoder = msgspec.msgpack.Decoder(
             Hello
+            | EvacuationReports
             | LimitReports
             | ServerFull
             | StreamBeginnings
@@ -189,6 +196,8 @@
         if is_leader:
             zones = neighbourhood.list_other_zones()
             hello.host_lists = {zone: self._digest_hosts(zone) for zone in zones}
+        # First, as a hello leads to reads of newer configurations and directories.
+        self._send_evacuations(self._list_receivers(is_leader=is_leader))
         encoded = msgspec.msgpack.encode(hello)
         for address in neighbourhood.list_hello_addresses():
             self._send(encoded, address)
@@ -202,10 +211,42 @@
 
     def _send_limits(self, *, is_leader: bool) -> None:
         """Pass on what servers have announced, to the receivers of the hellos."""
+        addresses = self._list_receivers(is_leader=is_leader)
+        self._send_reports(self._limits.list_reports(include_all=is_leader), addresses)
+
+    def _list_receivers(self, *, is_leader: bool) -> list[tuple[str, int]]:
+        """Return the addresses that this router's hellos are sent to."""
         addresses = self._neighbourhood.list_hello_addresses()
         if is_leader:
             addresses += self._neighbourhood.list_other_leaders()
-        self._send_reports(self._limits.list_reports(include_all=is_leader), addresses)
+        return addresses
+
+    def send_evacuations(self) -> None:
+        """Pass on the evacuations now; an error is logged."""
+        neighbourhood = self._neighbourhood
+        is_leader = neighbourhood.is_large and neighbourhood.find_leader() is None
+        try:
+            self._send_evacuations(self._list_receivers(is_leader=is_leader))
+        except Exception as error:
+            self._log.write("peers: evacuations not sent", error=repr(error))
+
+    def _send_evacuations(self, addresses: list[tuple[str, int]]) -> None:
+        """Pass on the evacuations that are in effect or were reverted lately."""
+        reports = self._evacuations.list_reports()
+        if not reports:
+            return
+        encoded = msgspec.msgpack.encode(EvacuationReports(reports))
+        for address in addresses:
+            self._send(encoded, address)
+
+    def _handle_evacuations(
+        self, message: EvacuationReports, address: tuple[str, int]
+    ) -> None:
+        """Record evacuations; tell a sender who has missed a later change of them."""
+        self._evacuations.merge(message.reports, f"{address[0]}:{address[1]}")
+        newer = self._evacuations.list_newer(message.reports)
+        if newer:
+            self._send(msgspec.msgpack.encode(EvacuationReports(newer)), address)
 
     def send_server_full(self, message: ServerFull) -> None:
         """Tell the receivers of the hellos that a server has rejected a request."""
@@ -377,6 +418,8 @@
         address = (str(addr[0]), int(addr[1]))
         if isinstance(message, Hello):
             self._handle_hello(message, address)
+        elif isinstance(message, EvacuationReports):
+            self._handle_evacuations(message, address)
         elif isinstance(message, LimitReports):
             self._on_limits(self._limits.merge(message.reports))
         elif isinstance(message, ServerFull):
@@ -419,6 +462,7 @@
                 peer=hello.host,
                 incarnation=hello.incarnation,
             )
+            self._send_evacuations([address])
             self._send_reports(self._limits.list_reports(include_all=True), [address])
         self.by_host[hello.host] = peer
         self._on_hello(peer)
--- a/bronzesail/router/services.py
+++ b/bronzesail/router/services.py
@@ -18,6 +18,7 @@
 from .clocks import read_clock
 from .crashing_parts import CrashingParts
 from .directory import Directory
+from .eligibility import Evacuations
 from .forwarding import Forwarder
 from .log import Log
 from .messages import ServerFull
@@ -73,6 +74,7 @@
     report_server_full: Callable[[ServerFull], None]  # To the other routers.
     announce_state: Callable[[], None]  # To the other routers, at once.
     forwarder: Forwarder
+    evacuations: Evacuations
     disabled_features: frozenset[Feature] = frozenset()
     _retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
--- a/bronzesail/router/watches.py
+++ b/bronzesail/router/watches.py
@@ -20,6 +20,7 @@
 
     from ..model import BackendServer, Configuration, Row, RowsAnswer
     from .directory import Directory
+    from .eligibility import Evacuations
     from .log import Log
     from .store import StoreClient
 
@@ -203,6 +204,7 @@
             if self.has_lost_store:
                 self._log_caught_up(since, change)
             self._note_response()
+            self._note_answer(change, is_whole=False)
             if change.version >= self._tracked_state.store_version:
                 # Otherwise another router sent newer state during the call.
                 self._apply_changes(change.rows)
@@ -239,6 +241,7 @@
         )
         self._note_response()
         self._needs_full_read = False
+        self._note_answer(answer, is_whole=True)
         if answer.version >= self._tracked_state.store_version:
             # Otherwise another router sent newer state during the call.
             self._apply_rows(answer.rows)
@@ -288,6 +291,12 @@
     def _note_store_recovered(self, outage_s: float) -> None:
         """Process the first response after the store was unreachable for a time."""
 
+    def _note_answer(self, answer: RowsAnswer, *, is_whole: bool) -> None:
+        """Process an answer even if newer state has come from another router.
+
+        `is_whole` is set if it holds the whole table.
+        """
+
     def _apply_rows(self, rows: list[Row]) -> None:
         raise NotImplementedError
 
@@ -296,7 +305,7 @@
 
 
 class ConfigurationWatch(_TableWatch):
-    """Follows the row of the configuration that operators write."""
+    """Follows the configuration and the evacuations that operators write."""
 
     table, key = CONFIGURATION_ROW
 
@@ -308,9 +317,16 @@
         on_sync_change: Callable[[], None],
         find_retry_s: Callable[[int], float],
         keeper: ConfigurationKeeper,
+        evacuations: Evacuations,
     ) -> None:
         super().__init__(store, log, may_follow, on_sync_change, find_retry_s, keeper)
         self._keeper = keeper
+        self._evacuations = evacuations
+
+    def _note_answer(self, answer: RowsAnswer, *, is_whole: bool) -> None:
+        # Hellos may move the version of the configuration past rows of evacuations
+        # that this router has not received.
+        self._evacuations.note_answer(answer, is_whole=is_whole)
 
     def _apply_rows(self, rows: list[Row]) -> None:
         self._apply_changes(rows)
