router: a forwarded request states its home regions

A router with an earlier configuration would have served a forwarded request outside its home regions. X-Router-Regions names them, percent-encoded; the receiver applies them together with those of its own configuration. Callers that set the header restrict their own request only.

--- a/bronzesail/model/_types.py
+++ b/bronzesail/model/_types.py
@@ -157,7 +157,8 @@
     `last_event_id` is set if the caller takes up a stream that broke off. `resumes` is
     the id of the request that brought the stream's first event, None if not stated.
     `earlier_sends` is how often another router, which forwards the request, has sent it
-    to servers; None if it comes from a caller.
+    to servers; None if it comes from a caller. `regions` are the home regions that the
+    other router knows, None without a restriction.
     """
 
     request_id: str
@@ -170,6 +171,7 @@
     resumes: str | None
     earlier_sends: int | None
     forwarded: bytes
+    regions: frozenset[str] | None = None
 
     @property
     def max_tokens(self) -> int:
--- a/bronzesail/platform/_requests.py
+++ b/bronzesail/platform/_requests.py
@@ -4,6 +4,7 @@
 
 import math
 from typing import TYPE_CHECKING
+from urllib.parse import quote, unquote
 
 from ..model import RequestHead
 from ._fields import MalformedError
@@ -28,9 +29,10 @@
     b"authorization", b"x-tenant", b"x-expect-instance", b"x-deadline-ms",
     b"x-request-priority", b"x-expect-version", b"x-pin-ms", b"x-kv-retention",
     b"x-kv-replica", b"kv-from", b"kv-fetch", b"last-event-id", b"x-router-sends",
+    b"x-router-regions",
 }  # fmt: skip
 # Headers that a router replaces when it forwards a request to another router.
-REPLACED_HEADERS = {b"x-deadline-ms", b"x-router-sends"}
+REPLACED_HEADERS = {b"x-deadline-ms", b"x-router-sends", b"x-router-regions"}
 MAX_TOKENS = 1_000_000_000  # Of one request; far beyond the memory of any engine.
 MAX_PART_DIGITS = 9
 MAX_SENDS = 99  # Of one request, to servers.
@@ -73,6 +75,7 @@
         else last_event_id.decode("latin-1"),
         resumes=None if resumes is None else resumes.decode("latin-1")[:MAX_ID_BYTES],
         earlier_sends=_read_sends(found.get(b"x-router-sends")),
+        regions=_read_regions(found.get(b"x-router-regions")),
         forwarded=_copy_headers(headers, listed, ROUTER_HEADERS),
     )
 
@@ -119,11 +122,13 @@
     sends: int,
     last_event_id: str | None,
     resumes: str | None,
+    regions: frozenset[str] | None = None,
 ) -> bytes:
     """Return the head of a request that is forwarded to another router.
 
     It has the caller's own headers, the key included. `sends` is how often the request
     was sent to a server; with `last_event_id` and `resumes` it goes on with a stream.
+    `regions` are its home regions, None without a restriction.
     """
     listed: set[bytes] = set()
     for name, value in headers:
@@ -139,6 +144,9 @@
     lines.append(_copy_headers(headers, listed, replaced))
     lines.append(b"X-Deadline-Ms: %d\r\n" % max(1, int(remaining_s * 1000)))
     lines.append(b"X-Router-Sends: %d\r\n" % sends)
+    if regions is not None:
+        quoted = ",".join(quote(region, safe="") for region in sorted(regions))
+        lines.append(b"X-Router-Regions: %b\r\n" % quoted.encode("ascii"))
     if body_bytes is not None:
         lines.append(b"Content-Length: %d\r\n" % body_bytes)
     lines.append(b"\r\n")
@@ -157,6 +165,16 @@
     return int(value)
 
 
+def _read_regions(value: bytes | None) -> frozenset[str] | None:
+    """Return the home regions that another router states, None if it states none.
+
+    Any other value names regions that may not exist, so that it lifts no restriction.
+    """
+    if value is None:
+        return None
+    return frozenset(unquote(part) for part in value.decode("latin-1").split(","))
+
+
 def _copy_headers(
     headers: Sequence[tuple[bytes, bytes]], listed: set[bytes], replaced: set[bytes]
 ) -> bytes:
--- a/bronzesail/router/eligibility/_regions.py
+++ b/bronzesail/router/eligibility/_regions.py
@@ -41,6 +41,7 @@
         self._keeper = keeper
         self._find_origin = find_origin
         self._seen: Configuration | None = None
+        self._limit: frozenset[str] | None = None
         self._regions: frozenset[str] | None = None
 
     def find(self) -> frozenset[str] | None:
@@ -51,21 +52,27 @@
         self._seen = configuration
         origin = self._find_origin(configuration)
         if origin is not None:
-            self._regions = combine_regions(*origin)
+            route, account = origin
+            self._regions = combine_regions(
+                self._limit, route.regions, None if account is None else account.regions
+            )
         return self._regions
 
+    def set_limit(self, regions: frozenset[str] | None) -> None:
+        """Set what another router, whose configuration may be newer, has stated.
 
-def combine_regions(
-    route: Route, account: ClientAccount | None
-) -> frozenset[str] | None:
-    """Return the home regions of a request, None without a restriction.
+        It is called before the regions are used.
+        """
+        self._limit = self._regions = regions
 
-    The result is empty if route and account have no home region in common.
+
+def combine_regions(*restrictions: frozenset[str] | None) -> frozenset[str] | None:
+    """Return the regions that all restrictions allow, None without a restriction.
+
+    The result is empty if they have no region in common.
     """
-    regions = None if account is None else account.regions
-    if route.regions is None or regions is None:
-        return regions if route.regions is None else route.regions
-    return route.regions & regions
+    regions = [allowed for allowed in restrictions if allowed is not None]
+    return frozenset.intersection(*regions) if regions else None
 
 
 def find_unknown_regions(
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -186,6 +186,7 @@
     async def _serve(self) -> None:
         """Check the request, reserve its tokens and send it until it is answered."""
         self._head = self._read_head()
+        self._homes.set_limit(self._head.regions)
         if self._head.earlier_sends:
             self._sends = self._head.earlier_sends
             self._may_have_run = True
@@ -464,6 +465,7 @@
             sends=self._sends,
             last_event_id=last_event_id,
             resumes=resumes,
+            regions=self._homes.find(),
         )
         return head + self._request.body
 
--- a/tests/test_router/test_home_regions.py
+++ b/tests/test_router/test_home_regions.py
@@ -7,7 +7,11 @@
 
 import pytest
 
-from bronzesail.platform import decode_configuration
+from bronzesail.platform import (
+    decode_configuration,
+    encode_peer_request_head,
+    read_request_head,
+)
 from bronzesail.router.client import ConnectError
 from bronzesail.router.eligibility import (
     HomeRegions,
@@ -94,7 +98,8 @@
 def test_home_regions_of_route_and_account_apply_together(route, account, expected):
     configuration = decode_configuration(encode(make_homes(1, route, account)))
     found = configuration.routes["api.example"][0]
-    assert combine_regions(found, configuration.accounts["acme"]) == expected
+    regions = configuration.accounts["acme"].regions
+    assert combine_regions(found.regions, regions) == expected
     assert find_unknown_regions(configuration, ["r1"]) == [
         region for region in ("r2",) if region in route + account
     ]
@@ -294,3 +299,29 @@
             assert '"peer":"near","service"' not in read_log(router, tmp_path)
 
     asyncio.run(run())
+
+
+# Guards against a router with an earlier configuration that lifts the restriction of a
+# request which another one forwards to it.
+def test_home_regions_go_along_with_a_forwarded_request(tmp_path):
+    lines = [(b"X-Attempt-Id", b"r1"), (b"X-Router-Regions", b"anywhere")]
+    for regions in (None, frozenset({"r2"}), frozenset({"a,b %", "r\u00e9\r\n"})):
+        head = encode_peer_request_head(
+            b"GET", b"/", lines, body_bytes=None, remaining_s=1.0, sends=0,
+            last_event_id=None, resumes=None, regions=regions,
+        )  # fmt: skip
+        received = [line.split(b": ") for line in head.split(b"\r\n")[1:-2]]
+        assert read_request_head(received).regions == regions
+
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            router = await start(deployment, make_configuration())
+            for stated, status in (("r2", 200), ("nowhere", 503), ("", 503)):
+                headers = {"X_Router_Sends": "0", "X_Router_Regions": stated}
+                for _ in range(5):
+                    found, _, _ = await deployment.send(router, "/book/1", **headers)
+                    assert found == status
+            counts = count_by_server(deployment)
+            assert (counts["app-z1"], counts["app-z2"]) == (0, 5)
+
+    asyncio.run(run())
