--- a/bronzesail/model/_types.py
+++ b/bronzesail/model/_types.py
@@ -166,7 +166,8 @@
     `last_event_id` is set if the caller takes up a stream that broke off. `resumes` is
     the id of the request that brought the stream's first event, None if not stated.
     `earlier_sends` is how often another router, which forwards the request, has sent it
-    to servers; None if it comes from a caller.
+    to servers; None if it comes from a caller. `regions` are the home regions that the
+    other router knows, None without a restriction.
     """
 
     request_id: str
@@ -179,6 +180,7 @@
     resumes: str | None
     earlier_sends: int | None
     forwarded: bytes
+    regions: frozenset[str] | None = None
 
     @property
     def max_tokens(self) -> int:
@@ -236,6 +238,8 @@
     cold_overshoot: float = 1.0
     cold_tolerance: float = 0.0
     malformed: tuple[str, ...] = ()
+    # From the evacuation of a data centre until no request reaches a server there.
+    evacuate_s: float = 5.0
 
 
 @attrs.frozen(kw_only=True)
--- a/bronzesail/platform/_settings.py
+++ b/bronzesail/platform/_settings.py
@@ -68,6 +68,7 @@
         cold_overshoot=read_amount(fields, "coldOvershoot", 1.0, malformed),
         cold_tolerance=read_amount(fields, "coldTolerance", 0.0, malformed),
         malformed=tuple(malformed),
+        evacuate_s=float(fields.get("evacuateMs", 5000)) / 1000,
     )
 
 
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -186,6 +186,7 @@
     async def _serve(self) -> None:
         """Check the request, reserve its tokens and send it until it is answered."""
         self._head = self._read_head()
+        self._homes.set_limit(self._head.regions)
         if self._head.earlier_sends:
             self._sends = self._head.earlier_sends
             self._may_have_run = True
@@ -194,7 +195,7 @@
                 ResultCode.DRAINING, retry_after_s=DRAINING_RETRY_AFTER_S
             )
         configuration = self._services.configuration.current
-        if configuration is None:
+        if configuration is None or not self._services.evacuations.is_known:
             raise self._make_refusal_error(
                 ResultCode.NO_BACKEND, retry_after_s=NO_BACKEND_RETRY_AFTER_S
             )
@@ -464,6 +465,7 @@
             sends=self._sends,
             last_event_id=last_event_id,
             resumes=resumes,
+            regions=self._homes.find(),
         )
         return head + self._request.body
 
@@ -552,10 +554,13 @@
         """
         usable = self._list_usable()
         if not usable:
-            if self._homes.find() is not None:
+            reason = self._services.directory.explain_ineligible(
+                self._service, self._homes.find()
+            )
+            if reason:
                 raise self._make_refusal_error(
                     ResultCode.NO_BACKEND,
-                    "no server in a home region is left",
+                    reason,
                     retry_after_s=NO_BACKEND_RETRY_AFTER_S,
                 )
             if self._version is not None:
