--- a/tests/test_router/test_cold_servers.py
+++ b/tests/test_router/test_cold_servers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import hashlib
+import itertools
 import math
 import random
 
@@ -14,6 +15,7 @@
 from bronzesail.router.directory import Directory
 from bronzesail.router.pacing import ColdServers
 from bronzesail.router.placement import Placement, Work
+from tests.platform_standin import Deployment, make_configuration, wait_until
 from tests.router_fakes import (
     ManualClock,
     make_brittle_servers,
@@ -264,3 +266,53 @@
         assert 2 <= n_sends <= LIMIT / 2
 
     asyncio.run(run())
+
+
+async def fail(request, responder, headers):
+    await responder.start(500, (*headers, ("Content-Length", "0")))
+
+
+async def flood(deployment, for_s):
+    """Send requests to the routers in turn, of which each may be sent twice."""
+    loop = asyncio.get_running_loop()
+    tasks = []
+    until = loop.time() + for_s
+    for router in itertools.cycle(deployment.routers):
+        tasks.append(loop.create_task(deployment.send(router, "/look/1", method="GET")))
+        await asyncio.sleep(0.02)
+        if loop.time() > until:
+            break
+    await asyncio.gather(*tasks)
+
+
+# Each router, and each repeated send, counts for the limit at the server; one of the
+# routers is replaced by a new process in the meantime.
+def test_cold_servers_that_fail_requests_get_no_more_than_their_limit(tmp_path):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            services = make_configuration()["services"]
+            services[1] |= {"coldPerS": 4, "coldStartS": 0}
+            configuration = make_configuration(services=services)
+            deployment.store.put("op", "config", configuration)
+            cold = [
+                await deployment.start_backend(name, "app", fail) for name in ("a", "b")
+            ]
+            for backend in cold:
+                entry = backend.make_entry() | {"coldLeftMs": 60_000}
+                deployment.store.put("servers", backend.id, entry)
+            bounds = "coldOvershoot = 1.5\ncoldTolerance = 6"
+            for number in range(3):
+                await deployment.start_router(f"h{number}", bounds=bounds)
+            await wait_until(lambda: all(r.app.is_ready() for r in deployment.routers))
+            await flood(deployment, SETTLED_S + 1.5)
+            ended = deployment.routers.pop(0)
+            ended.app.abort()
+            ended.task.cancel()
+            await deployment.start_router("h0", bounds=bounds)
+            await flood(deployment, 2.0)
+            for backend in cold:
+                times = [at for at, _ in backend.arrived_at]
+                most = max(sum(at <= t < at + 1 for t in times) for at in times)
+                assert 1 <= most <= 4 * 1.5 + 6
+
+    asyncio.run(run())
