--- a/bronzesail/platform/_servers.py
+++ b/bronzesail/platform/_servers.py
@@ -57,7 +57,7 @@
     value = fields.get("coldLeftMs", 0)
     if isinstance(value, bool) or not isinstance(value, (int, float)):
         return MALFORMED_TIME_S
-    cold_left_s = read_int(fields, "coldLeftMs") / 1000
+    cold_left_s = read_int(fields, "coldLeftMs", 0) / 1000
     return cold_left_s if 0 <= cold_left_s <= MAX_COLD_S else MALFORMED_TIME_S
 
 
--- a/bronzesail/router/admission_queue.py
+++ b/bronzesail/router/admission_queue.py
@@ -288,19 +288,13 @@
         """Whether a server has started or recovered and is paced."""
         return self._pace is not None and self._pace.is_recovering(server)
 
-    def _find_share(self, server: BackendServer) -> float:
-        """Return the share of its usual load that a server gets after a pause."""
-        share = self._directory.withdrawals.compute_share(server)
-        if self._pace is not None and self._pace.is_active(server.service):
-            return math.ceil(share)  # The pace replaces the fixed ramp.
-        return share
+    def _has_paced_room(self, server: BackendServer) -> bool:
+        """Whether a server of a paced service has room for one more request."""
+        room = None if self._pace is None else self._pace.find_room(server)
+        return room is None or self._placement.count_own(server.id) < room
 
     def _has_room(self, server: BackendServer) -> bool:
-        """Whether a server that is paced or brittle has room for one more request."""
-        paced_room = None if self._pace is None else self._pace.find_room(server)
-        if paced_room is not None:
-            if self._placement.count_own(server.id) >= paced_room:
-                return False
+        """Whether a server that may be brittle has room for one more request."""
         if not self._brittle.is_brittle(server.service):
             return True
         servers = self._directory.list_usable(server.service)
@@ -333,6 +327,7 @@
             if queued.engine is None
             else ENGINE_REQUESTS_PER_SLOT
         )
+        is_paced = self._pace is not None and self._pace.is_active(service)
         available = []
         for server in servers:
             if self._limits.find_wait_s(server) > 0:
@@ -341,10 +336,13 @@
                 continue
             if not self._has_room(server):
                 continue
-            share = self._find_share(server)
+            if is_paced and not self._has_paced_room(server):
+                continue
+            share = self._directory.withdrawals.compute_share(server)
+            share = math.ceil(share) if is_paced else share  # It replaces the ramp.
             capacity = server.slots * requests_per_slot * share
             estimated = self._placement.estimate_requests(server.id, now)
-            if 0 < share < 1 or self._is_recovering(server):
+            if 0 < share < 1 or (is_paced and self._is_recovering(server)):
                 # Reports from before the pause say nothing of the load after it.
                 load = self._placement.get_load(server.id)
                 estimated = load.in_flight + load.assigned
--- a/bronzesail/router/pacing/_rate_limits.py
+++ b/bronzesail/router/pacing/_rate_limits.py
@@ -37,7 +37,10 @@
 
     def find_wait_s(self, server: BackendServer) -> float:
         """Return the time until all limits allow the next request to a server."""
-        return max(limit.find_wait_s(server) for limit in self._limits)
+        wait_s = 0.0
+        for limit in self._limits:  # Called for each server and request.
+            wait_s = max(wait_s, limit.find_wait_s(server))
+        return wait_s
 
     def find_share(self, server: BackendServer) -> float | None:
         """Return the lowest share of the limits, None if there is no limit."""
