router: servers of a data centre that is taken back are cold and paced

Cold limits and the pace were built without the directory's record of ended evacuations, and noting that a server is reachable again needed the event loop, which a test has none of; it reads the clock of the placement now.

--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -183,6 +183,7 @@
             self.configuration.find_service,
             self.directory,
             lambda: self.settings.bounds,
+            self.directory.get_taken_back_at,
         )
         self.pace = ServerPace(
             loop.time,
@@ -193,6 +194,7 @@
             self.placement,
             self.cold.find_cold_left_s,
             Feature.SERVER_PACE not in self._disabled_features,
+            get_taken_back_at=self.directory.get_taken_back_at,
         )
         self.placement.find_start_cost_s = self.pace.find_cost_s
         self.brittle = BrittleServers(
--- a/bronzesail/router/placement.py
+++ b/bronzesail/router/placement.py
@@ -163,6 +163,10 @@
         self.loads: dict[str, Load] = {}
         self.find_start_cost_s: Callable[[BackendServer], float] = _find_cold_cost_s
 
+    def get_time(self) -> float:
+        """Return the time in seconds, on the clock that the loads are noted by."""
+        return self._now()
+
     def get_load(self, server_id: str) -> Load:
         """Return the load of a server, creating an empty one for a new server."""
         load = self.loads.get(server_id)
--- a/bronzesail/router/server_links.py
+++ b/bronzesail/router/server_links.py
@@ -286,7 +286,7 @@
         load = self._placement.get_load(server.id)
         if not load.is_unreachable:
             return
-        now = self._loop.time()
+        now = self._placement.get_time()
         if self.is_cut_off(server.service):
             self._cut_off_at[server.service] = now
         load.is_unreachable = False
