router: a server whose whole service was out of reach is not paced; mutants and tests

After this host had lost its links to all servers of a service, each of them got a small window. Only servers that were out of reach by themselves get one now.

--- a/bronzesail/router/pacing/_cold_servers.py
+++ b/bronzesail/router/pacing/_cold_servers.py
@@ -154,12 +154,7 @@
     def find_cold_left_s(self, server: BackendServer) -> float:
         """Return for how long a server counts as cold, 0 if it is warm."""
         service = self._find_service(server.service)
-        if service is None:
-            return 0.0
-        state = self._get_state(server)
-        fresh_at = max(state.fresh_at, self._get_taken_back_at(server.id))
-        until = max(fresh_at + service.cold_start_s, state.reported_until)
-        return max(0.0, until - self._now())
+        return 0.0 if service is None else self._find_left_s(server, service)
 
     def count_cold(self, servers: Iterable[BackendServer]) -> int:
         """Return how many of some servers are cold and have a limit."""
@@ -194,7 +189,14 @@
         service = self._find_service(server.service)
         if service is None or not service.cold_rate_per_s:
             return 0.0
-        return self.find_cold_left_s(server)
+        return self._find_left_s(server, service)
+
+    def _find_left_s(self, server: BackendServer, service: Service) -> float:
+        """Return for how long a server of a service counts as cold."""
+        state = self._get_state(server)
+        fresh_at = max(state.fresh_at, self._get_taken_back_at(server.id))
+        until = max(fresh_at + service.cold_start_s, state.reported_until)
+        return max(0.0, until - self._now())
 
     def _update_bucket(self, server: BackendServer) -> PermitBucket:
         """Return the permits for a server, counted up to now."""
--- a/bronzesail/router/pacing/_server_pace.py
+++ b/bronzesail/router/pacing/_server_pace.py
@@ -68,6 +68,7 @@
 MIN_FAILURE_SHARE = 0.25
 FAILURE_WEIGHT = 0.15  # Of one outcome in the moving average of a window.
 USUAL_FAILURE_WEIGHT = 0.02  # The same for the servers of a service.
+MIN_SLOWNESS = 0.1  # A server that reports less is not taken at its word.
 COST_WEIGHT = 0.3  # Of one answer in the moving average of the added latency.
 
 
@@ -297,7 +298,7 @@
             return
         now = self._now()
         usual_s = BASE_LATENCY_S + prompt_tokens / PREFILL_RATE_TOKENS_PER_S
-        usual_s *= self._find_slowness(server.id)
+        usual_s *= max(MIN_SLOWNESS, self._find_slowness(server.id))
         slowdown = latency_s / usual_s
         window = self._find_window(server)
         if window is not None and now - latency_s >= window.begins_at:
--- a/bronzesail/router/server_links.py
+++ b/bronzesail/router/server_links.py
@@ -32,8 +32,6 @@
 PROBE_TIMEOUT_S = 0.5
 # By then the hellos of other routers tell whether they reach the service.
 NOTICE_DELAY_S = 0.3
-# All servers of a service are probed within this time once one is reachable again.
-LINK_RECOVERY_S = 3.0
 MAX_COMPARED = 3  # Other servers that tell a crash of one from lost links.
 MAX_PROBED = 8  # Servers that stand for all, if none of them can be reached.
 
@@ -59,7 +57,7 @@
         Called when the services that are out of reach have changed.
     on_recovered : callable, optional
         Called with a server that is reachable again, unless its whole service was out
-        of reach lately: then the links were the cause and not the server.
+        of reach: then the links were the cause and not the server.
     """
 
     def __init__(
@@ -81,7 +79,8 @@
         self._on_reachable = on_reachable
         self._on_change = on_change
         self._on_recovered = on_recovered
-        self._cut_off_at: dict[str, float] = {}  # When a service was last out of reach.
+        # Servers whose whole service was out of reach when one of them was back.
+        self._lost_with_service: set[str] = set()
         self._probed_at: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._check: asyncio.Task[None] | None = None
@@ -281,14 +280,15 @@
         load = self._placement.get_load(server.id)
         if not load.is_unreachable:
             return
-        now = self._loop.time()
         if self.is_cut_off(server.service):
-            self._cut_off_at[server.service] = now
+            servers = self._list_servers(server.service)
+            self._lost_with_service.update(s.id for s in servers)
         load.is_unreachable = False
         self._log.write("server: reachable again", server=server.id)
         self._update()
-        if now - self._cut_off_at.get(server.service, -1e9) > LINK_RECOVERY_S:
+        if server.id not in self._lost_with_service:
             self._on_recovered(server)
+        self._lost_with_service.discard(server.id)
         self._on_reachable(server.service)
 
     async def _probe(self, server: BackendServer) -> None:
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -305,6 +305,28 @@
     assert decode_server("i-1", entry).cold_left_s == cold_left_s
 
 
+def test_malformed_cold_bounds_are_ignored():
+    text = """
+nodeName = "h"
+ip = "10.0.0.1"
+zone = "z"
+internalPorts = [1, 2]
+[zones]
+[listen]
+frontend = "10.0.0.1:1"
+ready = "10.0.0.1:2"
+[platform]
+address = "10.0.0.1:3"
+[bounds]
+coldOvershoot = %s
+coldTolerance = 5
+"""
+    for value, factor in [("1.5", 1.5), ("-1", 1.0), ("nan", 1.0), ('"x"', 1.0)]:
+        bounds = decode_settings(text % value).bounds
+        assert (bounds.cold_overshoot, bounds.cold_tolerance) == (factor, 5.0)
+        assert bounds.malformed == (() if factor == 1.5 else ("coldOvershoot",))
+
+
 @pytest.mark.parametrize(
     ("values", "cold_left_s", "is_malformed"),
     [
--- a/tests/test_router/test_cut_from_servers.py
+++ b/tests/test_router/test_cut_from_servers.py
@@ -184,6 +184,27 @@
     assert not links.is_cut_off("s")
 
 
+# Guards against a slow return to all servers after this host had lost its links.
+def test_servers_recover_only_from_their_own_failures():
+    clock = ManualClock()
+    directory, recovered = Directory(clock), []
+    servers = [make_server(server_id) for server_id in "ab"]
+    placement = Placement(clock, "z1", {"z1": "r1"})
+    links = ServerLinks(
+        None, RecordingLog(), FakePool(clock), directory, placement, print,
+        lambda: None, lambda server: recovered.append(server.id),
+    )  # fmt: skip
+    for server in servers:
+        directory.put(server)
+        placement.note_failure(server.id, is_unreachable=True)
+    for server in servers:
+        links.note_reachable(server)
+    assert recovered == []
+    placement.note_failure("a", is_unreachable=True)
+    links.note_reachable(servers[0])
+    assert recovered == ["a"]
+
+
 def test_streams_that_live_on_do_not_hide_that_no_connection_is_accepted(tmp_path):
     async def run():
         async with Deployment(tmp_path) as deployment:
--- a/tests/test_router/test_server_pace.py
+++ b/tests/test_router/test_server_pace.py
@@ -10,11 +10,23 @@
 import pytest
 
 from bronzesail.model import Engine, Service
+from bronzesail.platform import AnswerHeadReader
 from bronzesail.router.admission_queue import AdmissionQueue
 from bronzesail.router.directory import Directory
 from bronzesail.router.pacing import ServerPace
-from bronzesail.router.placement import COLD_START_COST_S, Placement, Work
+from bronzesail.router.placement import (
+    COLD_START_COST_S,
+    EJECTION_FAILURES,
+    Placement,
+    Work,
+)
 from bronzesail.router.server_limits import ServerLimits
+from tests.platform_standin import (
+    Deployment,
+    echo_body,
+    make_configuration,
+    wait_until,
+)
 from tests.router_fakes import (
     ManualClock,
     make_brittle_servers,
@@ -325,3 +337,28 @@
         assert 0.4 < loop.time() - (deadline - 10) < 1.5
 
     asyncio.run(run())
+
+
+def test_a_pause_and_an_ejection_start_the_pace(tmp_path):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            services = make_configuration()["services"]
+            services[1] |= {"coldStartS": 0.1}
+            configuration = make_configuration(services=services)
+            deployment.store.put("op", "config", configuration)
+            for name in "ab":
+                await deployment.start_backend(name, "app", echo_body)
+            app = (await deployment.start_router("h1")).app
+            await wait_until(app.is_ready)
+            first, second = app.directory.list_all()
+            app.pace._windows.clear()
+            for _ in range(EJECTION_FAILURES):
+                app.services.note_failure(first, "test")
+            reader = AnswerHeadReader()
+            reader.add(b"Retry-After", b"1")
+            app.services.note_answer_head(second, reader.finish(503))
+            assert app.pace.count_recovering() == 2
+            for server in (first, second):
+                assert app.pace._windows[server.id].begins_at > app.services.loop.time()
+
+    asyncio.run(run())
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -68,6 +68,8 @@
 SILENT_STORE_TESTS = "tests/test_router/test_silent_store.py"
 WATCH_TESTS = "tests/test_router/test_watches.py"
 LIMIT_TESTS = "tests/test_router/test_server_limits.py"
+COLD_TESTS = "tests/test_router/test_cold_servers.py"
+PACE_TESTS = "tests/test_router/test_server_pace.py"
 RESTORE_TESTS = "tests/test_router/test_store_restore.py"
 
 MUTANTS = (
@@ -744,6 +746,48 @@
         "False",
         LIMIT_TESTS,
     ),
+    Mutant(
+        "two halves of a fleet divide the limit of a cold server",
+        "bronzesail/router/pacing/_cold_servers.py",
+        "N_PARTS = 2",
+        "N_PARTS = 1",
+        COLD_TESTS,
+    ),
+    Mutant(
+        "a router that starts sends nothing to cold servers",
+        "bronzesail/router/pacing/_cold_servers.py",
+        "SETTLE_S = 2.0",
+        "SETTLE_S = 0.0",
+        COLD_TESTS,
+    ),
+    Mutant(
+        "the limit of a cold server takes permits",
+        "bronzesail/router/pacing/_rate_limits.py",
+        "            limit.take_permit(server)",
+        "            limit.find_share(server)",
+        COLD_TESTS,
+    ),
+    Mutant(
+        "routers share the window of a server",
+        "bronzesail/router/pacing/_server_pace.py",
+        "divmod(int(window.size), window.n_routers)",
+        "divmod(int(window.size), 1)",
+        PACE_TESTS,
+    ),
+    Mutant(
+        "an answer to a request before a decrease does not count",
+        "bronzesail/router/pacing/_server_pace.py",
+        "if sent_at >= window.reduced_at:",
+        "if True:",
+        PACE_TESTS,
+    ),
+    Mutant(
+        "a paced server gets no more than its room",
+        "bronzesail/router/admission_queue.py",
+        "return room is None or self._placement.count_own(server.id) < room",
+        "return True",
+        PACE_TESTS,
+    ),
 )
 
 
