link protection: a host with a saturated link steps aside or sheds load

Cause: one host with a 5 Mbit/s link may get half of a fleet's requests. Its link fills within seconds, all servers seem unreachable, and callers wait until they time out.

Change: LinkUsage counts the bytes in each direction, EntryControl decides whether the host reports not ready within the bound of its data centre, and LinkAdmission refuses (BZ1504) what the link does not carry in time. While the link is saturated, timeouts are not held against servers. Hellos carry the use, the state and the surge.

The decision has no tests of its own yet.

--- a/bronzesail/errors/_codes.py
+++ b/bronzesail/errors/_codes.py
@@ -66,6 +66,7 @@
     NO_BACKEND = 1501
     OVERLOADED = 1502
     BACKEND_FAILED = 1503
+    LINK_SATURATED = 1504
     DRAINING = 1601
     PEER_UNREACHABLE = 1602
     PEER_REFUSED = 1603
@@ -183,6 +184,11 @@
     ResultCode.BACKEND_FAILED: CodeText(
         502, "The backend server failed.", "Send it again if it is idempotent."
     ),
+    ResultCode.LINK_SATURATED: CodeText(
+        503,
+        "The link of the router's host carries no more requests in time.",
+        "Send it again after the stated time, over a new connection.",
+    ),
     ResultCode.DRAINING: CodeText(
         503, "The router is shutting down.", "Send it to another router."
     ),
--- a/bronzesail/explain/_log_reader.py
+++ b/bronzesail/explain/_log_reader.py
@@ -41,6 +41,7 @@
     "BZ1501": "No server of the service could be reached.",
     "BZ1502": "Every server of the service was at capacity.",
     "BZ1503": "The server failed, and the request could not be retried.",
+    "BZ1504": "The link of the host was saturated; see `link: state changed`.",
     "BZ1601": "The router was shutting down.",
 }
 
--- /dev/null
+++ b/bronzesail/router/admission/__init__.py
@@ -0,0 +1,19 @@
+"""Decides which callers and requests a host with a narrow link accepts."""
+
+from __future__ import annotations
+
+from ._entry_control import EntryControl, EntryState, LinkSample, ZoneHost
+from ._link_admission import LinkAdmission, LinkRequest
+from ._link_usage import LinkUsage
+from ._response_times import ResponseTimes
+
+__all__ = [
+    "EntryControl",
+    "EntryState",
+    "LinkAdmission",
+    "LinkRequest",
+    "LinkSample",
+    "LinkUsage",
+    "ResponseTimes",
+    "ZoneHost",
+]
--- /dev/null
+++ b/bronzesail/router/admission/_link_admission.py
@@ -0,0 +1,163 @@
+"""Chooses the requests that a saturated link still carries, without performing I/O.
+
+Each request body and each answer crosses the link of its host once in each direction.
+The data of the admitted requests that have not ended therefore tells how long the link
+needs for them. A request is admitted if that time fits into its own.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Hashable
+
+__all__ = ["LinkAdmission", "LinkRequest"]
+
+USABLE_SHARE = 0.85  # Of the link; headers of packets and acknowledgements need some.
+# Share of a request's remaining time that the transfers before it may take.
+WAIT_SHARE = 0.5
+MIN_HORIZON_S = 0.3  # Objectives are for an idle link, and some are near a round trip.
+RANK_FACTOR = 0.75  # For each rank that is more urgent than that of the request.
+MIN_RANK_FACTOR = 0.3
+MIN_SIZE_FACTOR = 0.6  # Of requests that are much larger than the average.
+RANK_MEMORY_S = 5.0  # A rank without a request for this long does not count.
+SIZE_WEIGHT = 0.1  # Of one answer in the moving average of its route.
+DEFAULT_ANSWER_BYTES = 2000  # Of a route without an answer yet.
+# A rank, account or size without an admitted request for this long gets the next one.
+MAX_STARVED_S = 1.0
+REFUSED_WINDOW_S = 1.0
+MAX_KEYS = 2000  # Ranks, accounts and sizes that are tracked.
+
+
+@attrs.frozen(kw_only=True)
+class LinkRequest:
+    """What the admission to the link depends on.
+
+    Attributes
+    ----------
+    route, account : str
+        Names of the route and of the client account.
+    rank : int
+        Priority; lower numbers are more urgent.
+    request_bytes : int
+        Size of head and body.
+    remaining_s : float
+        Time until the deadline.
+    objective_s : float
+        Latency objective of the route.
+    """
+
+    route: str
+    account: str
+    rank: int
+    request_bytes: int
+    remaining_s: float
+    objective_s: float
+
+
+class LinkAdmission:
+    """Tracks the data of the admitted requests and decides on new ones.
+
+    Parameters
+    ----------
+    bytes_per_s : float
+        Capacity of the link in each direction.
+    now : callable
+        Returns the seconds of a monotonic clock.
+    """
+
+    def __init__(self, bytes_per_s: float, now: Callable[[], float]) -> None:
+        self._bytes_per_s = max(1.0, bytes_per_s * USABLE_SHARE)
+        self._now = now
+        self._pending: dict[Hashable, tuple[str, int]] = {}
+        self._pending_bytes = 0
+        self._answer_bytes: dict[str, float] = {}
+        self._mean_bytes = float(DEFAULT_ANSWER_BYTES)
+        self._ranks: dict[int, float] = {}  # When a request of a rank came last.
+        self._admitted_at: dict[tuple[int, str, int], float] = {}
+        self._refused: deque[tuple[float, int]] = deque()
+
+    def estimate_bytes(self, request: LinkRequest) -> int:
+        """Return the bytes that a request and its answer send in one direction."""
+        answer = self._answer_bytes.get(request.route, DEFAULT_ANSWER_BYTES)
+        return request.request_bytes + int(answer)
+
+    def admit(self, key: Hashable, request: LinkRequest, *, is_shedding: bool) -> bool:
+        """Admit a request, or not if the link does not carry it in time.
+
+        Without shedding every request is admitted.
+
+        Parameters
+        ----------
+        key : hashable
+            Identifies the request for `note_ended`.
+        request : LinkRequest
+            The request.
+        is_shedding : bool
+            Whether the link is saturated.
+        """
+        now = self._now()
+        size = self.estimate_bytes(request)
+        group = (request.rank, request.account, size.bit_length() // 2)
+        self._ranks[request.rank] = now
+        if is_shedding and not self._fits(request, size, group):
+            self._refused.append((now, size))
+            self._admitted_at.setdefault(group, now)
+            return False
+        if len(self._admitted_at) > MAX_KEYS:
+            self._admitted_at.clear()
+        self._admitted_at[group] = now
+        self._mean_bytes += (size - self._mean_bytes) * SIZE_WEIGHT
+        self._pending[key] = request.route, size
+        self._pending_bytes += size
+        return True
+
+    def note_ended(self, key: Hashable, answer_bytes: int) -> None:
+        """Record the end of an admitted request, and the size of its answer."""
+        pending = self._pending.pop(key, None)
+        if pending is None:
+            return
+        route, size = pending
+        self._pending_bytes -= size
+        mean = self._answer_bytes.get(route, float(answer_bytes))
+        mean += (answer_bytes - mean) * SIZE_WEIGHT
+        self._answer_bytes[route] = mean
+
+    def compute_wait_s(self) -> float:
+        """Return how long the link needs for the data of the admitted requests."""
+        return self._pending_bytes / self._bytes_per_s
+
+    def compute_refused_bytes_per_s(self) -> float:
+        """Return the bytes a second of the requests refused in the last second."""
+        since = self._now() - REFUSED_WINDOW_S
+        while self._refused and self._refused[0][0] < since:
+            self._refused.popleft()
+        return sum(size for _, size in self._refused) / REFUSED_WINDOW_S
+
+    def _fits(
+        self, request: LinkRequest, size: int, group: tuple[int, str, int]
+    ) -> bool:
+        """Whether the link carries a request in time, beside those admitted."""
+        if not self._pending:
+            return True
+        wait_s = (self._pending_bytes + size) / self._bytes_per_s
+        most_s = request.remaining_s * WAIT_SHARE
+        now = self._now()
+        if now - self._admitted_at.get(group, now) >= MAX_STARVED_S:
+            return wait_s <= most_s
+        horizon_s = min(most_s, max(MIN_HORIZON_S, request.objective_s))
+        rank_factor = self._find_rank_factor(request.rank)
+        size_factor = max(MIN_SIZE_FACTOR, min(1.0, self._mean_bytes / size))
+        return wait_s <= horizon_s * rank_factor * size_factor
+
+    def _find_rank_factor(self, rank: int) -> float:
+        """Return the share of its horizon that a rank may use."""
+        since = self._now() - RANK_MEMORY_S
+        n_more_urgent = sum(
+            other < rank and at >= since for other, at in self._ranks.items()
+        )
+        return max(MIN_RANK_FACTOR, RANK_FACTOR**n_more_urgent)
--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -11,7 +11,7 @@
 
 import uvloop
 
-from ..model import Limits
+from ..model import Feature, Limits
 from ..platform import SETTINGS_PATH_VARIABLE, decode_settings
 from .admission_queue import AdmissionQueue
 from .answer_memory import AnswerMemory
@@ -29,6 +29,7 @@
 from .gauges import set_gauges
 from .hello import make_hello
 from .internal_http import METRICS_PATH, start_internal_server
+from .link_protection import LinkProtection
 from .log import Log
 from .messages import (
     ServerFull,
@@ -62,7 +63,7 @@
 
 if TYPE_CHECKING:
     from ..errors import Refusal
-    from ..model import Configuration, Feature
+    from ..model import Configuration
     from .budget_rows import HolderRow
     from .server_limits import LimitReport
 
@@ -155,7 +156,6 @@
         self.internal_address = (settings.ip, settings.internal_ports[0])
         address = f"{settings.ip}:{settings.internal_ports[0]}"
         self.era = StoreEra(self.log)
-        self.store = StoreClient(loop, settings, self.era, self.log)
         self.configuration = ConfigurationKeeper(self.log, self._apply_configuration)
         self.directory = Directory(loop.time)
         self.era.subscribe(self._note_era)
@@ -168,6 +168,18 @@
             settings.region_by_zone,
             self.internal_address,
         )
+        is_protected = Feature.LINK_PROTECTION not in self._disabled_features
+        self.entry = LinkProtection(
+            loop,
+            self.log,
+            settings.host,
+            settings.link_mbps if is_protected else 0.0,
+            self.neighbourhood,
+            self._callers,
+            self._random,
+        )
+        usage = self.entry.usage
+        self.store = StoreClient(loop, settings, self.era, self.log, usage)
         self.limits = ServerLimits(
             read_clock, settings.host, self.neighbourhood.list_nearest
         )
@@ -177,7 +189,7 @@
             self.neighbourhood.list_nearest,
             self._random,
         )
-        self.pool = ClientPool(loop)
+        self.pool = ClientPool(loop, usage)
         self.lives = ServerLives(loop, self.log, self.pool, self.directory)
         self.line = AdmissionQueue(
             self.directory, self.placement, self.limits, self.brittle, self.lives
@@ -252,6 +264,7 @@
             self.placement,
             self.line.dispatch,
             self.peers.send_hello,
+            self.entry.is_saturated,
         )
         self.services = Services(
             loop=loop,
@@ -276,6 +289,7 @@
             links=self.links,
             brittle=self.brittle,
             lives=self.lives,
+            entry=self.entry,
             report_server_full=self.peers.send_server_full,
             announce_state=self.peers.send_hello,
             disabled_features=self._disabled_features,
@@ -362,7 +376,7 @@
         await self.peers.start(*self.internal_address)
         self._servers.append(
             await loop.create_server(
-                lambda: CallerConnection(self, loop),
+                lambda: CallerConnection(self, loop, self.entry.usage),
                 settings.caller_address[0],
                 settings.caller_address[1],
                 backlog=LISTEN_BACKLOG,
@@ -378,6 +392,7 @@
             ("hellos", self.peers.run),
             (TOKEN_RETURNS, self.desk.return_leftovers),
             ("sweep", self._sweep),
+            ("link protection", self._protect_link),
             ("settings watch", self._watch_settings),
             ("holdings log", self._log_holdings_regularly),
         ):
@@ -448,6 +463,7 @@
         """Whether the platform may send callers to this router."""
         return (
             not self.is_draining
+            and not self.entry.control.is_aside
             and self.configuration.current is not None
             and len(self.directory) > 0
         )
@@ -653,6 +669,10 @@
                 self.line.dispatch(service)
             self.book.check_invariant()
 
+    async def _protect_link(self) -> None:
+        """Relieve the host's link while it is saturated."""
+        await self.entry.run(self.pool, self.peers, self.peers.send_hello)
+
     async def _watch_settings(self) -> None:
         """Poll the settings file for changes."""
         while True:
--- a/bronzesail/router/caller.py
+++ b/bronzesail/router/caller.py
@@ -21,6 +21,7 @@
     from collections.abc import Callable
 
     from ..model import Limits
+    from .admission import LinkUsage
 
 __all__ = ["CallerConnection", "CallerHandler", "CallerRequest"]
 
@@ -109,9 +110,27 @@
         Serves the requests.
     loop : asyncio.AbstractEventLoop
         The event loop to run on.
+    usage : LinkUsage, optional
+        Counts the bytes that are received and written.
+
+    Attributes
+    ----------
+    n_bytes, n_sent : int
+        Bytes received and written so far, and those written.
+    is_close_due : bool
+        Whether the connection is to be closed after the next response.
     """
 
-    def __init__(self, handler: CallerHandler, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self,
+        handler: CallerHandler,
+        loop: asyncio.AbstractEventLoop,
+        usage: LinkUsage | None = None,
+    ) -> None:
+        self.n_bytes = 0
+        self.n_sent = 0
+        self.is_close_due = False
+        self._usage = usage
         self._handler = handler
         self._loop = loop
         self._transport: asyncio.Transport | None = None
@@ -182,6 +201,9 @@
         if self._is_lost or self._has_refused:
             return
         self._unparsed_bytes += len(data)
+        self.n_bytes += len(data)
+        if self._usage is not None:
+            self._usage.note_received(len(data), is_caller=True)
         try:
             self._parser.feed_data(data)
             self._check_unparsed()
@@ -189,6 +211,16 @@
             if not self._is_lost and not self._has_refused:
                 self._refuse(ResultCode.MALFORMED_REQUEST, str(error))
 
+    def count_unsent(self) -> int:
+        """Return the bytes in the write buffer."""
+        if self._transport is None or self._is_lost:
+            return 0
+        return self._transport.get_write_buffer_size()
+
+    def request_close(self) -> None:
+        """Close the connection after the next response, which announces that."""
+        self.is_close_due = True
+
     def close(self) -> None:
         """Close the connection after all written data was sent."""
         self._stop_timer()
@@ -359,7 +391,7 @@
 
     def _make_head(self, status: int, lines: bytes) -> bytes:
         """Return status line and headers, without those that delimit the body."""
-        if self._handler.is_draining:
+        if self._handler.is_draining or (self.is_close_due and not self._requests):
             self._closes_after_response = True
         reason = HTTPStatus(status).phrase if status in _KNOWN_STATUSES else ""
         close_line = b"Connection: close\r\n" if self._closes_after_response else b""
@@ -368,6 +400,10 @@
     def _write(self, data: bytes) -> None:
         """Write to the connection, unless it was lost."""
         if self._transport is not None and not self._is_lost:
+            self.n_bytes += len(data)
+            self.n_sent += len(data)
+            if self._usage is not None:
+                self._usage.note_sent(len(data), is_caller=True)
             self._transport.write(data)
 
     def _refuse_slow_sender(self) -> None:
--- a/bronzesail/router/client.py
+++ b/bronzesail/router/client.py
@@ -17,15 +17,18 @@
     from collections.abc import Callable
 
     from ..model import AnswerHead
+    from .admission import LinkUsage
     from .connection_spans import Span
 
 __all__ = [
     "MAX_CALL_BYTES",
+    "REFUSED",
     "AnswerSink",
     "Call",
     "ClientPool",
     "ConnectError",
     "Connection",
+    "UNACKNOWLEDGED",
 ]
 
 CONNECT_TIMEOUT_S = 0.8  # Below the second that callers allow for connecting.
@@ -40,6 +43,10 @@
 FORGET_AFTER_S = 60.0  # After which the last contact with an address is forgotten.
 # TCP_USER_TIMEOUT: a connection ends if sent data is not acknowledged for this long.
 UNACKNOWLEDGED_TIMEOUT_MS = 3000
+REFUSED = "refused"  # Text of the error of a refused connection.
+# Reason of a connection that the kernel has ended, because sent data was not
+# acknowledged.
+UNACKNOWLEDGED = "connection timed out"
 
 
 class ConnectError(OSError):
@@ -70,8 +77,11 @@
         address: tuple[str, int],
         on_lost: Callable[[Connection], None] = lambda _: None,
         on_data: Callable[[Connection], None] = lambda _: None,
+        usage: LinkUsage | None = None,
     ) -> None:
         self.address = address
+        self._usage = usage
+        self._sent_at: float | None = None  # Until the first byte of the response.
         self._on_lost = on_lost
         self._on_data = on_data
         self.opened_at = 0.0
@@ -108,6 +118,9 @@
         self._has_head = False
         self._is_close_delimited = False
         self._framing_bytes = 0
+        if self._usage is not None:
+            self._usage.note_sent(len(request))
+            self._sent_at = self._usage.now()
         self.transport.write(request)
 
     def close(self) -> None:
@@ -122,6 +135,12 @@
         """Whether the connection has ended or is being closed."""
         return self.transport is None or self.transport.is_closing()
 
+    def count_unsent(self) -> int:
+        """Return the bytes in the write buffer."""
+        if self.transport is None or self.is_closing:
+            return 0
+        return self.transport.get_write_buffer_size()
+
     def pause(self) -> None:
         """Stop reading, so that TCP flow control slows the server down."""
         if self.transport is not None and not self.transport.is_closing():
@@ -136,6 +155,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and enforce the limit on framing."""
         self._on_data(self)
+        self._count_received(len(data))
         if self._sink is None or self._parser is None:
             # No request is in progress, so these bytes violate the protocol.
             self.close()
@@ -148,6 +168,16 @@
         if self._sink is not None and self._framing_bytes > MAX_FRAMING_BYTES:
             self._break("malformed response: head, chunk sizes or trailers too large")
 
+    def _count_received(self, count: int) -> None:
+        """Count received bytes and note when the response begins."""
+        if self._usage is None:
+            return
+        self._usage.note_received(count)
+        if self._sent_at is not None:
+            took_s = self._usage.now() - self._sent_at
+            self._sent_at = None
+            self._usage.response_times.note(self.address, took_s)
+
     def eof_received(self) -> bool:
         """Complete a response whose body is delimited by the connection's end."""
         if self._sink is not None and self._has_head and self._is_close_delimited:
@@ -160,7 +190,10 @@
         """Report an unfinished response to its sink as broken."""
         self.is_usable = False
         self._on_lost(self)
-        self._break("connection reset" if exc else "connection closed")
+        if isinstance(exc, TimeoutError):
+            self._break(UNACKNOWLEDGED)
+        else:
+            self._break("connection reset" if exc else "connection closed")
 
     def _break(self, reason: str) -> None:
         self.is_usable = False
@@ -224,10 +257,21 @@
 
 
 class ClientPool:
-    """Pool of idle keep-alive connections, by address."""
+    """Pool of idle keep-alive connections, by address.
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    Parameters
+    ----------
+    loop : asyncio.AbstractEventLoop
+        The event loop to run on.
+    usage : LinkUsage, optional
+        Counts the bytes that are received and written.
+    """
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, usage: LinkUsage | None = None
+    ) -> None:
         self._loop = loop
+        self._usage = usage
         self._idle: dict[tuple[str, int], deque[Connection]] = {}
         self._open: dict[tuple[str, int], set[Connection]] = {}
         self._heard_at: dict[tuple[str, int], float] = {}
@@ -261,15 +305,15 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, protocol = await self._loop.create_connection(
-                    lambda: Connection(address, self._forget, self._note_data),
+                    lambda: Connection(
+                        address, self._forget, self._note_data, self._usage
+                    ),
                     address[0],
                     address[1],
                 )
         except (OSError, TimeoutError) as error:
             refused = isinstance(error, ConnectionRefusedError)
-            raise ConnectError(
-                "refused" if refused else "failed or timed out"
-            ) from error
+            raise ConnectError(REFUSED if refused else "failed or timed out") from error
         protocol.opened_at = self._loop.time()
         self._heard_at[address] = protocol.opened_at
         self._accepted_at[address] = protocol.opened_at
@@ -278,6 +322,10 @@
             self._open.setdefault(address, set()).add(protocol)
         return protocol
 
+    def list_open(self) -> list[Connection]:
+        """Return the open connections, idle or in use."""
+        return [c for connections in self._open.values() for c in connections]
+
     def has_connection(self, address: tuple[str, int], opened_before: float) -> bool:
         """Whether a connection to an address is still open, idle or in use.
 
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -19,6 +19,7 @@
     encode_refusal_head,
     read_request_head,
 )
+from .admission import LinkRequest
 from .connecting import Connector, send_ids
 from .forwarding import MAX_FORWARDS
 from .placement import Work
@@ -115,6 +116,7 @@
         self._caller = caller
         self._request = request
         self._is_accepted = is_accepted
+        self._sent_before = caller.n_sent
         self._connection: Connection | None = None
         self._head: RequestHead | None = None
         self._route: Route | None = None
@@ -179,6 +181,8 @@
         finally:
             self._close_connection()
             self._settle()
+            answer_bytes = self._caller.n_sent - self._sent_before
+            self._services.entry.note_ended(self, answer_bytes)
             self._log_end()
 
     async def _serve(self) -> None:
@@ -199,6 +203,7 @@
         self._route = self._find_route(configuration)
         self._account = self._find_account(configuration)
         self._choose_service(configuration)
+        self._check_link()
         if await self._forward_if_cut_off():
             return
         await self._find_version(configuration)
@@ -276,6 +281,31 @@
         service = configuration.services.get(name)
         self._engine = None if service is None else service.engine
 
+    def _check_link(self) -> None:
+        """Refuse a request that this host's link does not carry in time.
+
+        One that may have run was admitted by the router that has forwarded it.
+        """
+        assert self._head is not None and self._route is not None
+        if self._may_have_run:
+            return
+        retry_after_s = self._services.entry.admit(
+            self,
+            self._caller,
+            LinkRequest(
+                route=self._route.name,
+                account=self._account.name if self._account else "",
+                rank=self._priority,
+                request_bytes=len(self._request.body) + len(self._head.forwarded),
+                remaining_s=self._deadline_at - self._loop.time(),
+                objective_s=self._route.objective_s,
+            ),
+        )
+        if retry_after_s is not None:
+            raise self._make_refusal_error(
+                ResultCode.LINK_SATURATED, retry_after_s=retry_after_s
+            )
+
     async def _find_version(self, configuration: Configuration) -> None:
         """Find out where a stream that the caller takes up may go on, or refuse it."""
         assert self._route is not None and self._head is not None
@@ -764,14 +794,7 @@
             self._services.links.add_watcher(self._service, give_up)
         try:
             if can_retry:
-                wait_s = max(
-                    MIN_HEAD_TIMEOUT_S,
-                    HEAD_TIMEOUT_OBJECTIVES * self._route.objective_s,
-                )
-                async with asyncio.timeout_at(
-                    min(timeout_at, self._loop.time() + wait_s)
-                ):
-                    await asyncio.shield(relay.head_done)
+                await self._wait_for_head(relay, timeout_at)
             async with asyncio.timeout_at(timeout_at):
                 return await self._watch_stream(relay, can_retry)
         except TimeoutError:
@@ -783,6 +806,26 @@
         finally:
             self._services.links.remove_watcher(self._service, give_up)
 
+    async def _wait_for_head(self, relay: Relay, timeout_at: float) -> None:
+        """Wait until the response begins, for as long as other servers are not tried.
+
+        Raises
+        ------
+        TimeoutError
+            If it does not begin in time, unless the link is saturated: a second send
+            would only add load.
+        """
+        assert self._route is not None
+        wait_s = max(
+            MIN_HEAD_TIMEOUT_S, HEAD_TIMEOUT_OBJECTIVES * self._route.objective_s
+        )
+        try:
+            async with asyncio.timeout_at(min(timeout_at, self._loop.time() + wait_s)):
+                await asyncio.shield(relay.head_done)
+        except TimeoutError:
+            if not self._services.entry.is_saturated():
+                raise
+
     def _take_back(self, relay: Relay) -> None:
         """End the wait for a server out of reach, if another router may reach one."""
         if self._services.forwarder.has_target(self._service):
@@ -805,7 +848,8 @@
                 async with asyncio.timeout(STREAM_IDLE_TIMEOUT_S):
                     return await asyncio.shield(relay.done)
             except TimeoutError:
-                if self._stream.last_event_at <= last_event_at:
+                is_idle = self._stream.last_event_at <= last_event_at
+                if is_idle and not self._services.entry.is_saturated():
                     raise
                 last_event_at = self._stream.last_event_at
 
@@ -830,7 +874,8 @@
         if outcome.reason == "time limit":
             return self._end_at_deadline()
         self._services.note_failure(server, outcome.reason)
-        if self._is_crash(outcome):
+        is_link_to_blame = self._services.is_link_to_blame(outcome.reason)
+        if self._is_crash(outcome) and not is_link_to_blame:
             await self._check_crash(server, outcome)
         return self._retry_or_fail(ResultCode.BACKEND_FAILED)
 
--- a/bronzesail/router/forwarding.py
+++ b/bronzesail/router/forwarding.py
@@ -28,6 +28,7 @@
 __all__ = ["MAX_FORWARDS", "Forwarder", "Target"]
 
 MAX_FORWARDS = 3  # Routers that one request is offered to.
+BUSY_LINK_PERCENT = 85  # Routers with a busier link get no forwarded requests.
 
 
 @attrs.frozen
@@ -148,6 +149,8 @@
             known_hosts.add(hello.host)
             if service in hello.cut_off or not hello.callers:
                 continue
+            if hello.is_aside or hello.link_use >= BUSY_LINK_PERCENT:
+                continue
             target = Target(hello.host, parse_address(hello.callers), peer.address)
             (near if self._is_near(hello.zone) else far).append(target)
         caller_port = self._settings.caller_address[1]
--- a/bronzesail/router/hello.py
+++ b/bronzesail/router/hello.py
@@ -51,6 +51,9 @@
         callers="{}:{}".format(*application.settings.caller_address),
         cut_off=select_cut_off(application.links.list_cut_off()),
         brittle=select_brittle(application.brittle.list_reports()),
+        link_use=application.entry.compute_use_percent(),
+        is_aside=application.entry.control.is_aside,
+        surge=application.entry.control.surge_bytes_per_s,
     )
 
 
--- a/bronzesail/router/messages.py
+++ b/bronzesail/router/messages.py
@@ -96,6 +96,9 @@
     brittle: list[BrittleReport] = []  # Services with brittle servers.
     # Digests of the live routers by data centre, sent by leaders only.
     host_lists: dict[str, int] = {}
+    link_use: int = 0  # Of the sender's link, in percent of its capacity.
+    is_aside: bool = False  # Whether the sender reports not ready to the platform.
+    surge: int = 0  # Bytes a second that it turns away, 0 if its link is not saturated.
 
 
 class LimitReports(msgspec.Struct, tag="limits"):
--- a/bronzesail/router/neighbourhood.py
+++ b/bronzesail/router/neighbourhood.py
@@ -432,6 +432,17 @@
         """Return the other live routers of this data centre."""
         return {neighbour.host: neighbour.address for neighbour in self._list_live()}
 
+    def list_zone_links(self) -> dict[str, float]:
+        """Return the links, in Mbit/s, of the other known hosts of this data centre.
+
+        These are known by rows of the store or by hellos, and may have stopped.
+        """
+        return {
+            known.host: known.link_mbps
+            for known in self._neighbours.values()
+            if known.zone == self._zone
+        }
+
     def list_hello_addresses(self) -> list[tuple[str, int]]:
         """Return the addresses that this router sends its hellos to."""
         if not self.is_large:
--- a/bronzesail/router/peers.py
+++ b/bronzesail/router/peers.py
@@ -227,15 +227,19 @@
     def _digest_hosts(self, zone: str) -> int:
         return compute_hosts_digest(self._neighbourhood.list_hosts(zone))
 
-    def list_live(self) -> list[Peer]:
-        """Return the peers with a recent hello that are not shutting down."""
+    def list_heard(self) -> list[Peer]:
+        """Return the peers with a recent hello."""
         now = self._loop.time()
         return [
             peer
             for peer in self.by_host.values()
-            if now - peer.last_hello_at < LIVE_TIMEOUT_S and not peer.hello.is_leaving
+            if now - peer.last_hello_at < LIVE_TIMEOUT_S
         ]
 
+    def list_live(self) -> list[Peer]:
+        """Return the peers with a recent hello that are not shutting down."""
+        return [peer for peer in self.list_heard() if not peer.hello.is_leaving]
+
     def count_free(self, account: str) -> int:
         """Return the free tokens of live peers, as of their last hellos."""
         return sum(peer.hello.free.get(account, 0) for peer in self.list_live())
--- a/bronzesail/router/services.py
+++ b/bronzesail/router/services.py
@@ -14,11 +14,12 @@
 from .answer_memory import AnswerMemory
 from .brittle_servers import BrittleServers
 from .budget import BudgetBook
-from .client import ClientPool
+from .client import UNACKNOWLEDGED, ClientPool
 from .clocks import read_clock
 from .crashing_parts import CrashingParts
 from .directory import Directory
 from .forwarding import Forwarder
+from .link_protection import LinkProtection
 from .log import Log
 from .messages import ServerFull
 from .metrics import Metrics
@@ -41,6 +42,8 @@
 
 __all__ = ["Services"]
 
+# Reasons of failures that a saturated link causes as well.
+TIMEOUT_REASONS = ("no response in time", UNACKNOWLEDGED)
 CRASH_CHECK_S = 0.1  # A crash ends all connections to a server within this time.
 
 
@@ -73,6 +76,7 @@
     report_server_full: Callable[[ServerFull], None]  # To the other routers.
     announce_state: Callable[[], None]  # To the other routers, at once.
     forwarder: Forwarder
+    entry: LinkProtection
     disabled_features: frozenset[Feature] = frozenset()
     _retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
@@ -239,11 +243,15 @@
 
     def note_failure(self, server: BackendServer, reason: str) -> None:
         """Record a failed request, which may eject the server."""
-        if self.links.is_cut_off(server.service):
+        if self.links.is_cut_off(server.service) or self.is_link_to_blame(reason):
             return
         if self.placement.note_failure(server.id):
             self.log.write("server: ejected", server=server.id, reason=reason)
 
+    def is_link_to_blame(self, reason: str) -> bool:
+        """Whether a failure shows a saturated link rather than a faulty server."""
+        return reason in TIMEOUT_REASONS and self.entry.is_saturated()
+
     def note_ended(
         self,
         exchange: Exchange,
--- a/bronzesail/router/store.py
+++ b/bronzesail/router/store.py
@@ -25,6 +25,7 @@
         RowWrite,
         StoreVersion,
     )
+    from .admission import LinkUsage
     from .log import Log
     from .store_era import StoreEra
 
@@ -118,6 +119,8 @@
         Is told the era of each answer.
     log : Log
         Log for malformed headers.
+    usage : LinkUsage, optional
+        Counts the bytes that are received and written.
     """
 
     def __init__(
@@ -126,12 +129,13 @@
         settings: HostSettings,
         era: StoreEra,
         log: Log,
+        usage: LinkUsage | None = None,
     ) -> None:
         self._loop = loop
         self._log = log
         self.era = era
         era.subscribe(lambda _: self.clock.reset())
-        self._pool = ClientPool(loop)
+        self._pool = ClientPool(loop, usage)
         self._wire = StoreWire()
         self.settings = settings
         self.clock = StoreClock()
