--- a/bronzesail/router/admission/_entry_control.py
+++ b/bronzesail/router/admission/_entry_control.py
@@ -52,7 +52,8 @@
 RETURN_GAP_S = 0.7
 # A host must be ready for more than seven eighths of the time.
 MAX_ASIDE_SHARE = 0.11
-MIN_ALLOWANCE_S = 4.0  # In a process that has run for a short time only.
+# Allowed in any case, as an eighth of 32 s: a surge needs this long to move elsewhere.
+MIN_ALLOWANCE_S = 4.0
 ALLOWANCE_WINDOW_S = 600.0
 # A link is wide if it has this many times the surge to spare. What a saturated host
 # announces is capped by its own link, and the surge is larger.
--- a/bronzesail/router/link_protection.py
+++ b/bronzesail/router/link_protection.py
@@ -35,8 +35,11 @@
 COUNT_INTERVAL_S = 1.0  # Over which the bytes of a connection are compared.
 FORGET_RESPONSES_S = 60.0
 MAX_PERCENT = 1000
-# Retry-After of a refused request where the host keeps its callers.
-MIN_RETRY_AFTER_S = 0.25
+# Retry-After of a refused request where the host keeps its callers, multiplied by the
+# demand. Bodies of requests that return too early fill the link on their own: with an
+# early return a host with 1.2 times its capacity answers nothing in time.
+RETRY_AFTER_S = 1.0
+MAX_RETRY_AFTER_S = 3.0
 # Retry-After where the balancer already sends callers to other hosts.
 ELSEWHERE_RETRY_AFTER_S = 0.05
 RETRY_SPREAD_S = 0.2  # Random part, so that callers do not return at the same moment.
@@ -155,7 +158,8 @@
         self.n_refused += 1
         spread_s = self._random.uniform(0.0, RETRY_SPREAD_S)
         if not self.control.is_aside:
-            return max(MIN_RETRY_AFTER_S, self._admission.compute_wait_s()) + spread_s
+            retry_after_s = RETRY_AFTER_S * max(1.0, self._make_sample().demand)
+            return min(MAX_RETRY_AFTER_S, retry_after_s) + spread_s
         time_left_s = self.control.find_time_in_rotation()
         if time_left_s <= 0:
             caller.request_close()
