link protection: full links are no evidence against servers; written bytes count as queued

Cause: sends that timed out on a full link made all servers unreachable, which started probes and forwarded requests over the same link. What a router has written waits in buffers of the kernel, so that requests that had ended for it were no longer counted.

Change: ServerLinks, Placement, Services and Exchange hold no timeout against a server while the link is congested, and for a second after. Admission adds the written bytes that the link cannot have carried yet. Datagrams are counted, too.

--- a/bronzesail/router/admission/_entry_control.py
+++ b/bronzesail/router/admission/_entry_control.py
@@ -169,7 +169,9 @@
     Attributes
     ----------
     is_saturated : bool
-        Whether the link is saturated, so that timeouts say nothing about servers.
+        Whether the link is saturated.
+    saturated_at : float
+        When the link was last saturated.
     surge_bytes_per_s : int
         The surge that this host turns away, 0 if it does not.
     reason : str
@@ -178,6 +180,7 @@
 
     def __init__(self, host: str, now: Callable[[], float]) -> None:
         self.is_saturated = False
+        self.saturated_at = -1e9
         self.surge_bytes_per_s = 0
         self.reason = ""
         self._host = host
@@ -255,6 +258,8 @@
         self._note_returns(zone)
         self._zone = zone
         self._update_saturation(sample)
+        if self.is_saturated:
+            self.saturated_at = self._now()
         self._sample = sample
         if self._aside_since is None:
             self._step_aside_if_due()
--- a/bronzesail/router/admission/_link_admission.py
+++ b/bronzesail/router/admission/_link_admission.py
@@ -68,11 +68,19 @@
         Capacity of the link in each direction.
     now : callable
         Returns the seconds of a monotonic clock.
+    count_queued : callable, optional
+        Returns the written bytes that the link has not carried yet.
     """
 
-    def __init__(self, bytes_per_s: float, now: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        bytes_per_s: float,
+        now: Callable[[], float],
+        count_queued: Callable[[], float] = lambda: 0.0,
+    ) -> None:
         self._bytes_per_s = max(1.0, bytes_per_s * USABLE_SHARE)
         self._now = now
+        self._count_queued = count_queued
         self._pending: dict[Hashable, tuple[str, int]] = {}
         self._pending_bytes = 0
         self._answer_bytes: dict[str, float] = {}
@@ -127,10 +135,6 @@
         mean += (answer_bytes - mean) * SIZE_WEIGHT
         self._answer_bytes[route] = mean
 
-    def compute_wait_s(self) -> float:
-        """Return how long the link needs for the data of the admitted requests."""
-        return self._pending_bytes / self._bytes_per_s
-
     def compute_refused_bytes_per_s(self) -> float:
         """Return the bytes a second of the requests refused in the last second."""
         since = self._now() - REFUSED_WINDOW_S
@@ -142,9 +146,10 @@
         self, request: LinkRequest, size: int, group: tuple[int, str, int]
     ) -> bool:
         """Whether the link carries a request in time, beside those admitted."""
-        if not self._pending:
+        queued_bytes = self._pending_bytes + self._count_queued()
+        if not queued_bytes:
             return True
-        wait_s = (self._pending_bytes + size) / self._bytes_per_s
+        wait_s = (queued_bytes + size) / self._bytes_per_s
         most_s = request.remaining_s * WAIT_SHARE
         now = self._now()
         if now - self._admitted_at.get(group, now) >= MAX_STARVED_S:
--- a/bronzesail/router/admission/_link_usage.py
+++ b/bronzesail/router/admission/_link_usage.py
@@ -56,6 +56,8 @@
         self._sent = [0] * N_BUCKETS
         self._from_callers = [0] * N_BUCKETS  # Both directions together.
         self._unsent_since: dict[int, float] = {}
+        self._queued_bytes = 0.0
+        self._queued_at = now()
 
     def note_received(self, count: int, *, is_caller: bool = False) -> None:
         """Record bytes that have arrived."""
@@ -66,11 +68,21 @@
 
     def note_sent(self, count: int, *, is_caller: bool = False) -> None:
         """Record bytes that were written."""
+        self._queued_bytes = self.count_queued() + count
+        self._queued_at = self.now()
         index = self._advance()
         self._sent[index] += count
         if is_caller:
             self._from_callers[index] += count
 
+    def count_queued(self) -> float:
+        """Return the written bytes that the link cannot have carried yet.
+
+        Most of them wait in buffers of the kernel and of the network.
+        """
+        carried = (self.now() - self._queued_at) * self.bytes_per_s
+        return max(0.0, self._queued_bytes - carried)
+
     def compute_use(self, window_s: float) -> float:
         """Return the used share of the link in its busier direction.
 
--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -159,7 +159,12 @@
         self.configuration = ConfigurationKeeper(self.log, self._apply_configuration)
         self.directory = Directory(loop.time)
         self.era.subscribe(self._note_era)
-        self.placement = Placement(loop.time, settings.zone, settings.region_by_zone)
+        self.placement = Placement(
+            loop.time,
+            settings.zone,
+            settings.region_by_zone,
+            lambda: self.entry.is_congested(),
+        )
         self.neighbourhood = Neighbourhood(
             settings.host,
             settings.zone,
@@ -230,6 +235,7 @@
             self._log_limits,
             lambda message, address: self.stream_lookup.handle(message, address),
             self._note_server_full,
+            usage,
         )
         self.streams = StreamVersions(read_clock)
         self.stream_rows = StreamRows(self.store, self.log, read_clock)
@@ -264,7 +270,7 @@
             self.placement,
             self.line.dispatch,
             self.peers.send_hello,
-            self.entry.is_saturated,
+            self.entry.is_congested,
         )
         self.services = Services(
             loop=loop,
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -812,7 +812,7 @@
         Raises
         ------
         TimeoutError
-            If it does not begin in time, unless the link is saturated: a second send
+            If it does not begin in time, unless the link is congested: a second send
             would only add load.
         """
         assert self._route is not None
@@ -823,7 +823,7 @@
             async with asyncio.timeout_at(min(timeout_at, self._loop.time() + wait_s)):
                 await asyncio.shield(relay.head_done)
         except TimeoutError:
-            if not self._services.entry.is_saturated():
+            if not self._services.entry.is_congested():
                 raise
 
     def _take_back(self, relay: Relay) -> None:
@@ -849,7 +849,7 @@
                     return await asyncio.shield(relay.done)
             except TimeoutError:
                 is_idle = self._stream.last_event_at <= last_event_at
-                if is_idle and not self._services.entry.is_saturated():
+                if is_idle and not self._services.entry.is_congested():
                     raise
                 last_event_at = self._stream.last_event_at
 
--- a/bronzesail/router/link_protection.py
+++ b/bronzesail/router/link_protection.py
@@ -34,6 +34,8 @@
 MIN_CLOSED = 2
 COUNT_INTERVAL_S = 1.0  # Over which the bytes of a connection are compared.
 FORGET_RESPONSES_S = 60.0
+# After saturation; longer than the usual timeout of a first response.
+CONGESTION_MEMORY_S = 1.0
 MAX_PERCENT = 1000
 # Retry-After of a refused request where the host keeps its callers, multiplied by the
 # demand. Bodies of requests that return too early fill the link on their own: with an
@@ -94,7 +96,9 @@
         self.control = EntryControl(host, loop.time)
         self.n_refused = 0
         self.n_closed = 0
-        self._admission = LinkAdmission(self.usage.bytes_per_s, loop.time)
+        self._admission = LinkAdmission(
+            self.usage.bytes_per_s, loop.time, self.usage.count_queued
+        )
         self._counted_at = -1e9
         self._counts: dict[CallerConnection, int] = {}
         self._earlier_counts: dict[CallerConnection, int] = {}
@@ -104,9 +108,14 @@
         """Whether the capacity of the link is known."""
         return self.usage.bytes_per_s > 0
 
-    def is_saturated(self) -> bool:
-        """Whether the link is saturated, so that timeouts say nothing about servers."""
-        return self.control.is_saturated
+    def is_congested(self) -> bool:
+        """Whether timeouts say nothing about servers.
+
+        That is so while the link is saturated, and until what has waited meanwhile has
+        passed.
+        """
+        saturated_at = self.control.saturated_at
+        return self._loop.time() - saturated_at < CONGESTION_MEMORY_S
 
     def compute_use_percent(self) -> int:
         """Return the use of the link over the last second, in percent."""
@@ -153,7 +162,7 @@
         The connection of a refused caller is closed once the balancer sends new ones
         to other hosts.
         """
-        if self._admission.admit(key, request, is_shedding=self.is_saturated()):
+        if self._admission.admit(key, request, is_shedding=self.control.is_saturated):
             return None
         self.n_refused += 1
         spread_s = self._random.uniform(0.0, RETRY_SPREAD_S)
--- a/bronzesail/router/peers.py
+++ b/bronzesail/router/peers.py
@@ -38,6 +38,7 @@
     from collections.abc import Awaitable, Callable
 
     from ..errors import ResultCode
+    from .admission import LinkUsage
     from .budget import BudgetBook
     from .log import Log
     from .neighbourhood import Neighbourhood
@@ -98,6 +99,8 @@
         Called with each message about streams and the address of its sender.
     on_server_full : callable
         Called with each report of a server that has rejected a request.
+    usage : LinkUsage, optional
+        Counts the bytes that are received and sent.
     """
 
     def __init__(
@@ -117,7 +120,9 @@
         on_limits: Callable[[list[LimitReport]], None],
         on_stream_message: Callable[[StreamMessage, tuple[str, int]], None],
         on_server_full: Callable[[ServerFull], None],
+        usage: LinkUsage | None = None,
     ) -> None:
+        self._usage = usage
         self._loop = loop
         self._book = book
         self._log = log
@@ -368,11 +373,16 @@
         """Send one datagram, unless the socket is closed or the datagram too large."""
         if self._transport is None or self._transport.is_closing():
             return
-        if len(data) <= MAX_DATAGRAM_BYTES:
-            self._transport.sendto(data, address)
+        if len(data) > MAX_DATAGRAM_BYTES:
+            return
+        if self._usage is not None:
+            self._usage.note_sent(len(data))
+        self._transport.sendto(data, address)
 
     def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
         """Decode one datagram and dispatch it by its type."""
+        if self._usage is not None:
+            self._usage.note_received(len(data))
         try:
             message = decode_datagram(data, self._message_decoder)
         except ValueError as error:
--- a/bronzesail/router/placement.py
+++ b/bronzesail/router/placement.py
@@ -139,11 +139,19 @@
         Data centre of this host.
     region_by_zone : dict
         Region of each data centre.
+    is_link_congested : callable, optional
+        Returns whether this host's link is congested. No server counts as unresponsive
+        then.
     """
 
     def __init__(
-        self, now: Callable[[], float], zone: str, region_by_zone: dict[str, str]
+        self,
+        now: Callable[[], float],
+        zone: str,
+        region_by_zone: dict[str, str],
+        is_link_congested: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._is_link_congested = is_link_congested
         self._now = now
         self._zone = zone
         self._region_by_zone = region_by_zone
@@ -208,7 +216,7 @@
         return (
             load.is_unreachable
             or load.ejected_until > now
-            or self._is_unresponsive(load)
+            or (self._is_unresponsive(load) and not self._is_link_congested())
         )
 
     def estimate_cost(
--- a/bronzesail/router/server_links.py
+++ b/bronzesail/router/server_links.py
@@ -55,8 +55,8 @@
         Called with the name of a service once one of its servers is reachable again.
     on_change : callable
         Called when the services that are out of reach have changed.
-    is_saturated : callable, optional
-        Returns whether this host's link is saturated. Timeouts then say nothing about
+    is_congested : callable, optional
+        Returns whether this host's link is congested. Timeouts then say nothing about
         servers, and probes would only add load.
     """
 
@@ -69,7 +69,7 @@
         placement: Placement,
         on_reachable: Callable[[str], None],
         on_change: Callable[[], None],
-        is_saturated: Callable[[], bool] = lambda: False,
+        is_congested: Callable[[], bool] = lambda: False,
     ) -> None:
         self._loop = loop
         self._log = log
@@ -78,7 +78,7 @@
         self._placement = placement
         self._on_reachable = on_reachable
         self._on_change = on_change
-        self._is_saturated = is_saturated
+        self._is_congested = is_congested
         self._probed_at: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._check: asyncio.Task[None] | None = None
@@ -104,7 +104,7 @@
         Answers on connections that live on show nothing of new ones. `version` is the
         software version of the servers that count; all by default.
         """
-        if self._is_saturated():
+        if self._is_congested():
             return False
         servers = self._directory.list_usable(service, version)
         return bool(servers) and all(self._is_unreachable(s) for s in servers)
@@ -134,7 +134,7 @@
 
     def check(self) -> None:
         """Start the probes that are due, and record what is out of reach."""
-        if self._is_saturated():
+        if self._is_congested():
             self._update()
             return
         now = self._loop.time()
@@ -268,10 +268,10 @@
         """Record that no connection to a server could be opened for a request.
 
         If no other server of its service was heard lately, or another one cannot be
-        reached either, they are probed. While the link is saturated, only a refused
+        reached either, they are probed. While the link is congested, only a refused
         connection counts.
         """
-        if self._is_saturated():
+        if self._is_congested():
             if reason == REFUSED:
                 self._mark_unreachable(server, reason)
             return
@@ -300,7 +300,7 @@
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 connection = await self._pool.open(server.address)
         except (ConnectError, TimeoutError) as error:
-            if self._is_saturated() and str(error) != REFUSED:
+            if self._is_congested() and str(error) != REFUSED:
                 return
             self._mark_unreachable(server, f"probe: {error or 'timed out'}")
             return
--- a/bronzesail/router/services.py
+++ b/bronzesail/router/services.py
@@ -250,7 +250,7 @@
 
     def is_link_to_blame(self, reason: str) -> bool:
         """Whether a failure shows a saturated link rather than a faulty server."""
-        return reason in TIMEOUT_REASONS and self.entry.is_saturated()
+        return reason in TIMEOUT_REASONS and self.entry.is_congested()
 
     def note_ended(
         self,
--- a/tests/link_replay.py
+++ b/tests/link_replay.py
@@ -56,7 +56,9 @@
         self.name = name
         self.usage = LinkUsage(link_mbps, clock)
         self.control = EntryControl(name, clock)
-        self.admission = LinkAdmission(self.usage.bytes_per_s, clock)
+        self.admission = LinkAdmission(
+            self.usage.bytes_per_s, clock, self.usage.count_queued
+        )
         self.queues = {"received": deque(), "sent": deque()}
         self.credit = {"received": 0.0, "sent": 0.0}
         self.is_in_rotation = True
--- a/tests/test_router/test_large_fleet.py
+++ b/tests/test_router/test_large_fleet.py
@@ -173,6 +173,8 @@
             app.crashing_parts.note_begun([f"{number + 100:012x}"])
             app.directory.merge_leaving({f"i-{number:010}": 1_790_000_000_000})
             app.brittle.note_answer(f"service-{number}", 3.0)
+        app.entry.usage.note_sent(10**12)
+        app.entry.control.surge_bytes_per_s = 10**10
         app.links.list_cut_off = lambda: [f"service-{n}" for n in range(40)]
         app.neighbourhood.list_other_zones = lambda: {
             f"a-data-centre-{n}": {} for n in range(5)
--- /dev/null
+++ b/tests/test_router/test_link_protection.py
@@ -0,0 +1,182 @@
+"""Routers whose host's link is saturated, on real connections."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from bronzesail.model import Feature
+from bronzesail.router.application import Application
+from bronzesail.router.directory import Directory
+from bronzesail.router.placement import Placement, Work
+from bronzesail.router.server_links import ServerLinks
+from tests.platform_standin import (
+    HOST_NAME,
+    KEY,
+    Deployment,
+    echo_body,
+    make_configuration,
+    wait_until,
+)
+from tests.router_fakes import ManualClock, RecordingLog, make_server
+
+LINK_MBPS = 2
+BODY = b"x" * 20_000
+REQUESTS_PER_S = 20  # Of 40 kB in each direction; the link carries 6.
+
+
+async def start_fleet(deployment, n_routers=4):
+    deployment.store.put("op", "config", make_configuration())
+    backend = await deployment.start_backend("p1", "app", echo_body)
+    for number in range(n_routers):
+        await deployment.start_router(f"h{number}", link_mbps=LINK_MBPS)
+    routers = deployment.routers
+    await wait_until(lambda: all(router.app.is_ready() for router in routers))
+    await wait_until(
+        lambda: all(len(r.app.peers.list_heard()) == n_routers - 1 for r in routers)
+    )
+    return backend, routers
+
+
+async def send_for(deployment, router, for_s):
+    """Send requests at a steady rate; return statuses, headers and bodies."""
+    tasks = []
+    for _ in range(round(for_s * REQUESTS_PER_S)):
+        sending = deployment.send(router, "/look/1", BODY)
+        tasks.append(asyncio.create_task(sending))
+        await asyncio.sleep(1 / REQUESTS_PER_S)
+    return await asyncio.gather(*tasks)
+
+
+def test_a_saturated_host_steps_aside_and_returns(tmp_path):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            backend, routers = await start_fleet(deployment)
+            first = routers[0].app
+            sending = asyncio.create_task(send_for(deployment, routers[0], 2.5))
+            await wait_until(lambda: not first.is_ready())
+            hellos = [router.app.peers.by_host for router in routers[1:]]
+            await wait_until(
+                lambda: all(by_host["h0"].hello.is_aside for by_host in hellos)
+            )
+            assert all(by_host["h0"].hello.surge > 250_000 * 0.85 for by_host in hellos)
+            assert all(router.app.is_ready() for router in routers[1:])
+            results = await sending
+            refused = [headers for status, headers, _ in results if status == 503]
+            assert refused
+            assert all(h["x-result-code"] == "BZ1504" for h in refused)
+            assert all(float(h["retry-after"]) > 0 for h in refused)
+            # What is refused has not run.
+            n_served = [status for status, _, _ in results].count(200)
+            assert n_served + len(refused) == len(results)
+            assert len(backend.requests) == n_served
+            await wait_until(first.is_ready)
+
+    asyncio.run(run())
+
+
+def test_the_last_host_stays_ready(tmp_path):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            _, (router,) = await start_fleet(deployment, 1)
+            results = await send_for(deployment, router, 2.5)
+            assert router.app.is_ready()
+            assert {status for status, _, _ in results} == {200, 503}
+
+    asyncio.run(run())
+
+
+def test_nothing_is_refused_with_the_feature_switched_off(tmp_path, monkeypatch):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            _, (router,) = await start_fleet(deployment, 1)
+            results = await send_for(deployment, router, 2.0)
+            assert {status for status, _, _ in results} == {200}
+
+    disabled = frozenset([Feature.LINK_PROTECTION])
+    monkeypatch.setattr(
+        "tests.platform_standin.Application",
+        lambda *args: Application(*args, disabled_features=disabled),
+    )
+    asyncio.run(run())
+
+
+# Callers that keep their connections would stay at the host for good.
+def test_a_connection_is_closed_after_a_response_that_says_so(tmp_path):
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            _, (router,) = await start_fleet(deployment, 1)
+            reader, writer = await asyncio.open_connection(router.ip, router.port)
+            request = (
+                f"GET /look/1 HTTP/1.1\r\nHost: {HOST_NAME}\r\nX-Attempt-Id: a\r\n"
+                f"Authorization: Bearer {KEY}\r\n\r\n"
+            ).encode()
+            writer.write(request)
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert b"Connection: close" not in head
+            (caller,) = router.app._callers
+            await wait_until(lambda: caller.is_idle)
+            caller.request_close()
+            writer.write(request)
+            rest = await reader.read()
+            assert b"Connection: close" in rest
+            writer.close()
+
+    asyncio.run(run())
+
+
+class FakePool:
+    """Connections of which none is open."""
+
+    def get_heard_at(self, address):
+        return 0.0
+
+    def has_idle(self, address):
+        return False
+
+    def drop(self, address):
+        pass
+
+
+# Sends timed out on a full link, all servers counted as out of reach, and requests
+# were forwarded over the same link. A refused connection still shows a stopped server.
+@pytest.mark.parametrize(
+    ("is_congested", "reason", "is_unreachable"),
+    [
+        (True, "failed or timed out", False),
+        (True, "refused", True),
+        (False, "failed or timed out", True),
+    ],
+)
+def test_timeouts_on_a_full_link_say_nothing_about_servers(
+    is_congested, reason, is_unreachable
+):
+    clock = ManualClock()
+    directory, server = Directory(clock), make_server("a")
+    directory.put(server)
+    placement = Placement(clock, "z1", {"z1": "r1"}, lambda: is_congested)
+    links = ServerLinks(
+        SimpleNamespace(time=clock, call_later=lambda *_: None),
+        RecordingLog(),
+        FakePool(),
+        directory,
+        placement,
+        print,
+        lambda: None,
+        lambda: is_congested,
+    )
+    links._request_check = lambda services: None
+    links.note_unreachable(server, reason)
+    assert placement.get_load("a").is_unreachable is is_unreachable
+    assert links.is_cut_off("s") is (is_unreachable and not is_congested)
+
+
+@pytest.mark.parametrize("is_congested", [True, False])
+def test_silence_on_a_full_link_does_not_eject_servers(is_congested):
+    clock = ManualClock()
+    placement = Placement(clock, "z1", {"z1": "r1"}, lambda: is_congested)
+    placement.note_sent("a", Work(), 1)
+    clock.now += 5.0
+    assert placement.is_ejected("a", clock.now) is not is_congested
