--- a/bronzesail/router/caller.py
+++ b/bronzesail/router/caller.py
@@ -117,6 +117,8 @@
     ----------
     n_bytes, n_sent : int
         Bytes received and written so far, and those written.
+    opened_at : float
+        When the connection was accepted, in seconds on the loop's clock.
     is_close_due : bool
         Whether the connection is to be closed after the next response.
     """
@@ -129,6 +131,7 @@
     ) -> None:
         self.n_bytes = 0
         self.n_sent = 0
+        self.opened_at = 0.0
         self.is_close_due = False
         self._usage = usage
         self._handler = handler
@@ -158,6 +161,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the limits of a new connection and wait for its first request."""
+        self.opened_at = self._loop.time()
         self._transport = cast("asyncio.Transport", transport)
         self._transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
         sock = transport.get_extra_info("socket")
--- a/bronzesail/router/link_protection.py
+++ b/bronzesail/router/link_protection.py
@@ -44,6 +44,7 @@
 MAX_RETRY_AFTER_S = 3.0
 # Retry-After where the balancer already sends callers to other hosts.
 ELSEWHERE_RETRY_AFTER_S = 0.05
+PROBE_MARGIN_S = 0.5  # By which the balancer may be late with its probes.
 RETRY_SPREAD_S = 0.2  # Random part, so that callers do not return at the same moment.
 
 
@@ -166,14 +167,23 @@
             return None
         self.n_refused += 1
         spread_s = self._random.uniform(0.0, RETRY_SPREAD_S)
-        if not self.control.is_aside:
-            retry_after_s = RETRY_AFTER_S * max(1.0, self._make_sample().demand)
-            return min(MAX_RETRY_AFTER_S, retry_after_s) + spread_s
         time_left_s = self.control.find_time_in_rotation()
-        if time_left_s <= 0:
+        if self.control.is_out_of_rotation:
             caller.request_close()
+        if not self.control.is_aside or self._has_come_anyway(caller, time_left_s):
+            retry_after_s = RETRY_AFTER_S * max(1.0, self._make_sample().demand)
+            return min(MAX_RETRY_AFTER_S, retry_after_s) + spread_s
         return max(ELSEWHERE_RETRY_AFTER_S, time_left_s) + spread_s
 
+    def _has_come_anyway(self, caller: CallerConnection, time_left_s: float) -> bool:
+        """Whether the balancer has sent a caller although the host is out of rotation.
+
+        It does so if it uses all hosts of the data centre, and the caller would come
+        back here.
+        """
+        out_since = self._loop.time() + time_left_s
+        return caller.opened_at > out_since + PROBE_MARGIN_S
+
     def note_ended(self, key: Hashable, answer_bytes: int) -> None:
         """Record the end of a request, and the size of its answer."""
         self._admission.note_ended(key, answer_bytes)
--- a/tests/test_router/test_link_protection.py
+++ b/tests/test_router/test_link_protection.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+from random import Random
 from types import SimpleNamespace
 
 import pytest
 
 from bronzesail.model import Feature
+from bronzesail.router.admission import LinkRequest, LinkSample, ZoneHost
 from bronzesail.router.application import Application
 from bronzesail.router.directory import Directory
+from bronzesail.router.link_protection import LinkProtection
 from bronzesail.router.placement import Placement, Work
 from bronzesail.router.server_links import ServerLinks
 from tests.platform_standin import (
@@ -25,11 +28,12 @@
 LINK_MBPS = 2
 BODY = b"x" * 20_000
 REQUESTS_PER_S = 20  # Of 40 kB in each direction; the link carries 6.
+N_EARLIER = 20  # Requests for which the retry budget allows a second send.
 
 
-async def start_fleet(deployment, n_routers=4):
+async def start_fleet(deployment, n_routers=4, answer=echo_body):
     deployment.store.put("op", "config", make_configuration())
-    backend = await deployment.start_backend("p1", "app", echo_body)
+    backend = await deployment.start_backend("p1", "app", answer)
     for number in range(n_routers):
         await deployment.start_router(f"h{number}", link_mbps=LINK_MBPS)
     routers = deployment.routers
@@ -180,3 +184,69 @@
     placement.note_sent("a", Work(), 1)
     clock.now += 5.0
     assert placement.is_ejected("a", clock.now) is not is_congested
+
+
+# Each request that was late on a full link was sent again over the same link.
+@pytest.mark.parametrize(("is_congested", "n_sends"), [(True, 1), (False, 2)])
+def test_late_answers_on_a_full_link_lead_to_no_second_send(
+    tmp_path, is_congested, n_sends
+):
+    n_received = 0
+
+    async def answer_late(request, responder, headers):
+        nonlocal n_received
+        n_received += 1
+        if n_received == N_EARLIER + 1:
+            await asyncio.sleep(3.0)
+        await echo_body(request, responder, headers)
+
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            _, (router,) = await start_fleet(deployment, 1, answer_late)
+            await deployment.start_backend("p2", "app", answer_late)
+            await wait_until(lambda: len(router.app.directory) == 2)
+            router.app.entry.is_congested = lambda: is_congested
+            for _ in range(N_EARLIER + 1):
+                status, _, _ = await deployment.send(router, "/look/1", method="GET")
+                assert status == 200
+            assert n_received == N_EARLIER + n_sends
+
+    asyncio.run(run())
+
+
+def admit_at_host_out_of_rotation(opened_at):
+    """Return Retry-After and connection of a caller refused after 3 s aside."""
+    clock = ManualClock()
+    protection = LinkProtection(
+        SimpleNamespace(time=clock), RecordingLog(), "h", 5, None, [], Random(1)
+    )
+    zone = [ZoneHost(host=f"n{i}", bytes_per_s=625_000) for i in range(3)]
+    sample = LinkSample(bytes_per_s=625_000, short_use=1.0, long_use=1.0)
+    for _ in range(31):
+        protection.control.update(sample, zone)
+        clock.now += 0.1
+    protection.usage.note_sent(10_000_000)
+    caller = SimpleNamespace(opened_at=clock.now + opened_at, closes=[])
+    caller.request_close = lambda: caller.closes.append(True)
+    request = LinkRequest(
+        route="r",
+        account="a",
+        rank=1,
+        request_bytes=3000,
+        remaining_s=2.0,
+        objective_s=0.4,
+    )
+    return protection.admit("key", caller, request), caller
+
+
+# A caller that kept its connection would be refused here again and again.
+def test_a_refused_caller_is_sent_elsewhere_at_once():
+    retry_after_s, caller = admit_at_host_out_of_rotation(opened_at=-60)
+    assert 0.05 <= retry_after_s <= 0.25
+    assert caller.closes
+
+
+# If the balancer uses all hosts, callers come back here; early returns fill the link.
+def test_a_caller_that_the_balancer_has_sent_anyway_returns_later():
+    retry_after_s, _ = admit_at_host_out_of_rotation(opened_at=0)
+    assert retry_after_s >= 1.0
