--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -31,6 +31,7 @@
 from .gauges import set_gauges
 from .hello import make_hello
 from .internal_http import METRICS_PATH, start_internal_server
+from .link_protection import LinkProtection
 from .log import Log
 from .messages import (
     ServerFull,
@@ -158,12 +159,16 @@
         self.internal_address = (settings.ip, settings.internal_ports[0])
         address = f"{settings.ip}:{settings.internal_ports[0]}"
         self.era = StoreEra(self.log)
-        self.store = StoreClient(loop, settings, self.era, self.log)
         self.configuration = ConfigurationKeeper(self.log, self._apply_configuration)
         self.evacuations = Evacuations(loop.time, settings.region_by_zone, self.log)
         self.directory = Directory(loop.time, settings.region_by_zone, self.evacuations)
         self.era.subscribe(self._note_era)
-        self.placement = Placement(loop.time, settings.zone, settings.region_by_zone)
+        self.placement = Placement(
+            loop.time,
+            settings.zone,
+            settings.region_by_zone,
+            lambda: self.entry.is_congested(),
+        )
         self.neighbourhood = Neighbourhood(
             settings.host,
             settings.zone,
@@ -172,6 +177,18 @@
             settings.region_by_zone,
             self.internal_address,
         )
+        is_protected = Feature.LINK_PROTECTION not in self._disabled_features
+        self.entry = LinkProtection(
+            loop,
+            self.log,
+            settings.host,
+            settings.link_mbps if is_protected else 0.0,
+            self.neighbourhood,
+            self._callers,
+            self._random,
+        )
+        usage = self.entry.usage
+        self.store = StoreClient(loop, settings, self.era, self.log, usage)
         self.limits = ServerLimits(
             read_clock, settings.host, self.neighbourhood.list_nearest
         )
@@ -203,7 +220,7 @@
             self.neighbourhood.list_nearest,
             self._random,
         )
-        self.pool = ClientPool(loop)
+        self.pool = ClientPool(loop, usage)
         self.lives = ServerLives(loop, self.log, self.pool, self.directory)
         self.line = AdmissionQueue(
             self.directory,
@@ -250,6 +267,7 @@
             lambda message, address: self.stream_lookup.handle(message, address),
             self._note_server_full,
             self.evacuations,
+            usage,
         )
         self.evacuations.subscribe(self.peers.send_evacuations)
         self.evacuations.subscribe(self.line.note_eligibility_changed)
@@ -287,6 +305,7 @@
             self.line.dispatch,
             self.peers.send_hello,
             lambda server: self.services.note_recovered(server, "unreachable"),
+            self.entry.is_congested,
         )
         self.services = Services(
             loop=loop,
@@ -313,6 +332,7 @@
             links=self.links,
             brittle=self.brittle,
             lives=self.lives,
+            entry=self.entry,
             report_server_full=self.peers.send_server_full,
             announce_state=self.peers.send_hello,
             disabled_features=self._disabled_features,
@@ -401,7 +421,7 @@
         await self.peers.start(*self.internal_address)
         self._servers.append(
             await loop.create_server(
-                lambda: CallerConnection(self, loop),
+                lambda: CallerConnection(self, loop, self.entry.usage),
                 settings.caller_address[0],
                 settings.caller_address[1],
                 backlog=LISTEN_BACKLOG,
@@ -417,6 +437,7 @@
             ("hellos", self.peers.run),
             (TOKEN_RETURNS, self.desk.return_leftovers),
             ("sweep", self._sweep),
+            ("link protection", self._protect_link),
             ("settings watch", self._watch_settings),
             ("holdings log", self._log_holdings_regularly),
         ):
@@ -488,6 +509,7 @@
         """Whether the platform may send callers to this router."""
         return (
             not self.is_draining
+            and not self.entry.control.is_aside
             and self.configuration.current is not None
             and self.evacuations.is_known
             and len(self.directory) > 0
@@ -736,6 +758,10 @@
                 decreases=ended.n_decreases,
             )
 
+    async def _protect_link(self) -> None:
+        """Relieve the host's link while it is saturated."""
+        await self.entry.run(self.pool, self.peers, self.peers.send_hello)
+
     async def _watch_settings(self) -> None:
         """Poll the settings file for changes."""
         while True:
--- a/bronzesail/router/peers.py
+++ b/bronzesail/router/peers.py
@@ -39,6 +39,7 @@
     from collections.abc import Awaitable, Callable
 
     from ..errors import ResultCode
+    from .admission import LinkUsage
     from .budget import BudgetBook
     from .eligibility import Evacuations
     from .log import Log
@@ -58,6 +59,20 @@
 DEMAND_AHEAD_S = 2.0  # Seconds of demand that are requested beyond the shortage.
 MAX_DATAGRAM_BYTES = 60_000  # Below the 64 KiB of UDP; larger messages are dropped.
 
+# All messages that routers send to each other.
+Message = (
+    Hello
+    | EvacuationReports
+    | LimitReports
+    | ServerFull
+    | StreamBeginnings
+    | StreamQuery
+    | StreamReply
+    | TokenRequest
+    | TokenTransfer
+    | TransferConfirmation
+)
+
 
 @attrs.define(kw_only=True)
 class Peer:
@@ -102,6 +117,8 @@
         Called with each report of a server that has rejected a request.
     evacuations : Evacuations
         The evacuated data centres, which are passed on.
+    usage : LinkUsage, optional
+        Counts the bytes that are received and sent.
     """
 
     def __init__(
@@ -122,7 +139,9 @@
         on_stream_message: Callable[[StreamMessage, tuple[str, int]], None],
         on_server_full: Callable[[ServerFull], None],
         evacuations: Evacuations,
+        usage: LinkUsage | None = None,
     ) -> None:
+        self._usage = usage
         self._loop = loop
         self._book = book
         self._log = log
@@ -144,18 +163,7 @@
         self._sent_transfers: dict[str, tuple[float, TokenTransfer]] = {}
         self._received_transfers: dict[str, float] = {}
         self._confirmations: dict[str, asyncio.Future[None]] = {}
-        self._message_decoder = msgspec.msgpack.Decoder(
-            Hello
-            | EvacuationReports
-            | LimitReports
-            | ServerFull
-            | StreamBeginnings
-            | StreamQuery
-            | StreamReply
-            | TokenRequest
-            | TokenTransfer
-            | TransferConfirmation
-        )
+        self._message_decoder = msgspec.msgpack.Decoder(Message)
         self.by_host: dict[str, Peer] = {}
 
     async def start(self, ip: str, port: int) -> None:
@@ -268,15 +276,19 @@
     def _digest_hosts(self, zone: str) -> int:
         return compute_hosts_digest(self._neighbourhood.list_hosts(zone))
 
-    def list_live(self) -> list[Peer]:
-        """Return the peers with a recent hello that are not shutting down."""
+    def list_heard(self) -> list[Peer]:
+        """Return the peers with a recent hello."""
         now = self._loop.time()
         return [
             peer
             for peer in self.by_host.values()
-            if now - peer.last_hello_at < LIVE_TIMEOUT_S and not peer.hello.is_leaving
+            if now - peer.last_hello_at < LIVE_TIMEOUT_S
         ]
 
+    def list_live(self) -> list[Peer]:
+        """Return the peers with a recent hello that are not shutting down."""
+        return [peer for peer in self.list_heard() if not peer.hello.is_leaving]
+
     def count_free(self, account: str) -> int:
         """Return the free tokens of live peers, as of their last hellos."""
         return sum(peer.hello.free.get(account, 0) for peer in self.list_live())
@@ -405,17 +417,25 @@
         """Send one datagram, unless the socket is closed or the datagram too large."""
         if self._transport is None or self._transport.is_closing():
             return
-        if len(data) <= MAX_DATAGRAM_BYTES:
-            self._transport.sendto(data, address)
+        if len(data) > MAX_DATAGRAM_BYTES:
+            return
+        if self._usage is not None:
+            self._usage.note_sent(len(data))
+        self._transport.sendto(data, address)
 
     def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
-        """Decode one datagram and dispatch it by its type."""
+        """Count and decode one datagram."""
+        if self._usage is not None:
+            self._usage.note_received(len(data))
         try:
             message = decode_datagram(data, self._message_decoder)
         except ValueError as error:
             self._log.write("peers: malformed datagram", error=str(error))
             return
-        address = (str(addr[0]), int(addr[1]))
+        self._handle_message(message, (str(addr[0]), int(addr[1])))
+
+    def _handle_message(self, message: Message, address: tuple[str, int]) -> None:
+        """Handle a message by its type."""
         if isinstance(message, Hello):
             self._handle_hello(message, address)
         elif isinstance(message, EvacuationReports):
--- a/bronzesail/router/server_links.py
+++ b/bronzesail/router/server_links.py
@@ -11,7 +11,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from .client import ConnectError
+from .client import REFUSED, ConnectError
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine, Iterable
@@ -58,6 +58,9 @@
     on_recovered : callable, optional
         Called with a server that is reachable again, unless its whole service was out
         of reach: then the links were the cause and not the server.
+    is_congested : callable, optional
+        Returns whether this host's link is congested. Timeouts then say nothing about
+        servers, and probes would only add load.
     """
 
     def __init__(
@@ -70,6 +73,7 @@
         on_reachable: Callable[[str], None],
         on_change: Callable[[], None],
         on_recovered: Callable[[BackendServer], None] = lambda _: None,
+        is_congested: Callable[[], bool] = lambda: False,
     ) -> None:
         self._loop = loop
         self._log = log
@@ -81,6 +85,7 @@
         self._on_recovered = on_recovered
         # Servers whose whole service was out of reach when one of them was back.
         self._lost_with_service: set[str] = set()
+        self._is_congested = is_congested
         self._probed_at: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._check: asyncio.Task[None] | None = None
@@ -111,6 +116,8 @@
         Answers on connections that live on show nothing of new ones. `version` and
         `regions` select the servers that count; all by default.
         """
+        if self._is_congested():
+            return False
         servers = self._directory.list_usable(service, version, regions)
         return bool(servers) and all(self._is_unreachable(s) for s in servers)
 
@@ -139,6 +146,9 @@
 
     def check(self) -> None:
         """Start the probes that are due, and record what is out of reach."""
+        if self._is_congested():
+            self._update()
+            return
         now = self._loop.time()
         for server in self._directory.list_all():
             load = self._placement.loads.get(server.id)
@@ -270,8 +280,13 @@
         """Record that no connection to a server could be opened for a request.
 
         If no other server of its service was heard lately, or another one cannot be
-        reached either, they are probed.
+        reached either, they are probed. While the link is congested, only a refused
+        connection counts.
         """
+        if self._is_congested():
+            if reason == REFUSED:
+                self._mark_unreachable(server, reason)
+            return
         self._mark_unreachable(server, reason)
         since = self._loop.time() - SILENCE_S
         servers = self._list_servers(server.service)
@@ -303,6 +318,8 @@
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 connection = await self._pool.open(server.address)
         except (ConnectError, TimeoutError) as error:
+            if self._is_congested() and str(error) != REFUSED:
+                return
             self._mark_unreachable(server, f"probe: {error or 'timed out'}")
             return
         self._pool.release(connection)
--- a/bronzesail/router/services.py
+++ b/bronzesail/router/services.py
@@ -15,12 +15,13 @@
 from .answer_memory import AnswerMemory
 from .brittle_servers import BrittleServers
 from .budget import BudgetBook
-from .client import ClientPool
+from .client import UNACKNOWLEDGED, ClientPool
 from .clocks import read_clock
 from .crashing_parts import CrashingParts
 from .directory import Directory
 from .eligibility import Evacuations
 from .forwarding import Forwarder
+from .link_protection import LinkProtection
 from .log import Log
 from .messages import ServerFull
 from .metrics import Metrics
@@ -44,6 +45,8 @@
 
 __all__ = ["Services"]
 
+# Reasons of failures that a saturated link causes as well.
+TIMEOUT_REASONS = ("no response in time", UNACKNOWLEDGED)
 CRASH_CHECK_S = 0.1  # A crash ends all connections to a server within this time.
 
 
@@ -79,6 +82,7 @@
     announce_state: Callable[[], None]  # To the other routers, at once.
     forwarder: Forwarder
     evacuations: Evacuations
+    entry: LinkProtection
     disabled_features: frozenset[Feature] = frozenset()
     _retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
@@ -266,7 +270,7 @@
 
     def note_failure(self, server: BackendServer, reason: str) -> None:
         """Record a failed request, which may eject the server."""
-        if self.links.is_cut_off(server.service):
+        if self.links.is_cut_off(server.service) or self.is_link_to_blame(reason):
             return
         if self.placement.note_failure(server.id):
             self.log.write("server: ejected", server=server.id, reason=reason)
@@ -289,6 +293,10 @@
                 room=self.pace.find_room(server),
             )
 
+    def is_link_to_blame(self, reason: str) -> bool:
+        """Whether a failure shows a saturated link rather than a faulty server."""
+        return reason in TIMEOUT_REASONS and self.entry.is_congested()
+
     def note_ended(
         self,
         exchange: Exchange,
