placement: servers that report their speed are chosen by expected time

Placement treated all engines as equal, so that requests waited at engines that were slowed down while others were free. X-Server-Load has a fourth figure: how long work takes at the server. Where servers report it, the server is chosen by the expected time to the first event (reported speed, own responses, requests and prompt tokens ahead), at random among near-equal ones, and a repeatable request that waits at a server that became slow is withdrawn if another is expected to respond sooner and the retry budget has room. Services without the figure are placed as before.

--- a/bronzesail/model/_types.py
+++ b/bronzesail/model/_types.py
@@ -186,7 +186,8 @@
     requests a second that it can reject without falling over, None if it is not
     brittle. `store_era` is sent by the
     store only, and rises whenever it comes back from an older copy. `malformed` names
-    ignored headers.
+    ignored headers. `slots` and `slowness` come with the load; `slowness` is how long
+    work takes at the server, 1.0 as usual, None if the server does not report it.
     """
 
     status: int
@@ -204,6 +205,8 @@
     max_rejected_per_s: float | None = None
     malformed: tuple[str, ...] = ()
     store_era: int | None = None
+    slots: int | None = None
+    slowness: float | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/bronzesail/platform/_answers.py
+++ b/bronzesail/platform/_answers.py
@@ -24,6 +24,7 @@
 }  # fmt: skip
 DECIMAL_NUMBER = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?")
 MAX_LOAD_DIGITS = 6  # Of a reported number of requests; servers have some dozens.
+MAX_SLOWNESS_PERCENTAGE = 100_000  # A slower server serves nothing in time.
 MAX_ERA = 1_000_000_000  # The store's era rises by one with each restore.
 # Statuses that guarantee callers that the request was not and will not be executed.
 NOT_EXECUTED_STATUSES = {408, 421, 429, 503}
@@ -53,7 +54,7 @@
         """Return the response's head, decoded from the collected lines."""
         request_id = self._value_by_name.get(b"x-attempt-id")
         malformed: list[str] = []
-        running, waiting = self._read_load(malformed)
+        running, waiting, slots, slowness = self._read_load(malformed)
         return AnswerHead(
             status=status,
             request_id=None if request_id is None else request_id.decode("latin-1"),
@@ -72,20 +73,39 @@
             max_rejected_per_s=self._read_lowest("Server-Brittle", malformed),
             store_era=self._read_store_era(malformed),
             malformed=tuple(malformed),
+            slots=slots,
+            slowness=slowness,
         )
 
-    def _read_load(self, malformed: list[str]) -> tuple[int | None, int | None]:
-        """Return the numbers of running and waiting requests, None if malformed."""
+    def _read_load(
+        self, malformed: list[str]
+    ) -> tuple[int | None, int | None, int | None, float | None]:
+        """Return running and waiting requests, slots and slowness.
+
+        What is missing or malformed is None. A malformed slowness leaves the other
+        figures valid. More requests running than the server has slots make the whole
+        report malformed, but only if it has a slowness: servers that report none are
+        read as by earlier builds.
+        """
         value = self._value_by_name.get(b"x-server-load")
         if value is None:
-            return None, None
-        parts = [part.strip() for part in value.split(b",")[:2]]
-        if len(parts) < 2 or not all(
-            part.isdigit() and len(part) <= MAX_LOAD_DIGITS for part in parts
-        ):
+            return None, None, None, None
+        parts = [part.strip() for part in value.split(b",", 4)[:4]]
+        running, waiting, slots = (
+            _read_load_number(part) for part in (parts + [b""] * 3)[:3]
+        )
+        if running is None or waiting is None:
+            malformed.append("X-Server-Load")
+            return None, None, None, None
+        if len(parts) < 4:
+            return running, waiting, slots, None
+        slowness = _read_slowness(parts[3])
+        if slots is not None and running > slots:
+            malformed.append("X-Server-Load")
+            return None, None, None, None
+        if slots is None or slowness is None:
             malformed.append("X-Server-Load")
-            return None, None
-        return int(parts[0]), int(parts[1])
+        return running, waiting, slots, slowness
 
     def _read_leaving(self, malformed: list[str]) -> bool:
         """Whether the server announces that it will stop."""
@@ -164,6 +184,27 @@
     return status, b"".join(lines)
 
 
+def _read_load_number(text: bytes) -> int | None:
+    """Return a number of requests, None if it is malformed."""
+    if not text.isdigit() or len(text) > MAX_LOAD_DIGITS:
+        return None
+    return int(text)
+
+
+def _read_slowness(text: bytes) -> float | None:
+    """Return the slowness that a percentage of the usual time says.
+
+    >>> _read_slowness(b"150"), _read_slowness(b"0"), _read_slowness(b"9" * 1000)
+    (1.5, None, None)
+    """
+    if DECIMAL_NUMBER.fullmatch(text) is None:
+        return None
+    percentage = float(text)
+    if not 0 < percentage <= MAX_SLOWNESS_PERCENTAGE:
+        return None
+    return percentage / 100
+
+
 def _read_retry_after_s(text: str) -> float | None:
     """Return a time in seconds, given as a number or as a date; None if malformed."""
     try:
--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -11,7 +11,7 @@
 
 import uvloop
 
-from ..model import Limits
+from ..model import Feature, Limits
 from ..platform import SETTINGS_PATH_VARIABLE, decode_settings
 from .admission_queue import AdmissionQueue
 from .answer_memory import AnswerMemory
@@ -23,6 +23,7 @@
 from .clocks import read_clock
 from .crashing_parts import CrashingParts
 from .directory import Directory
+from .estimates import ServerSpeed
 from .exchange import Exchange
 from .features import DISABLED_FEATURES_VARIABLE, read_disabled_features
 from .forwarding import Forwarder
@@ -62,7 +63,7 @@
 
 if TYPE_CHECKING:
     from ..errors import Refusal
-    from ..model import Configuration, Feature
+    from ..model import Configuration
     from .budget_rows import HolderRow
     from .server_limits import LimitReport
 
@@ -159,7 +160,16 @@
         self.configuration = ConfigurationKeeper(self.log, self._apply_configuration)
         self.directory = Directory(loop.time)
         self.era.subscribe(self._note_era)
-        self.placement = Placement(loop.time, settings.zone, settings.region_by_zone)
+        self.placement = Placement(
+            loop.time,
+            settings.zone,
+            settings.region_by_zone,
+            ServerSpeed(
+                loop.time,
+                is_enabled=Feature.SERVER_SPEED not in self._disabled_features,
+            ),
+            self._random,
+        )
         self.neighbourhood = Neighbourhood(
             settings.host,
             settings.zone,
--- a/bronzesail/router/connecting.py
+++ b/bronzesail/router/connecting.py
@@ -117,6 +117,10 @@
         self._asked_server_ids.append(server.id)
 
         def on_head(head: AnswerHead) -> None:
+            if head.slowness is not None and None not in (head.running, head.waiting):
+                services.placement.note_load_report(
+                    server.id, head.running or 0, head.waiting or 0, head.slowness
+                )
             services.note_answer_head(server, head)
 
         # A question that hangs shows, like a request, that the server is out of reach.
--- /dev/null
+++ b/bronzesail/router/estimates/__init__.py
@@ -0,0 +1,8 @@
+"""Estimates when servers of uneven speed respond, without performing I/O."""
+
+from __future__ import annotations
+
+from ._head_wait import RECHECK_S, HeadWait
+from ._server_speed import ServerSpeed
+
+__all__ = ["RECHECK_S", "HeadWait", "ServerSpeed"]
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -21,6 +21,7 @@
 )
 from .connecting import Connector, send_ids
 from .forwarding import MAX_FORWARDS
+from .head_waiting import WithdrawnError, note_expected, wait_for_head
 from .placement import Work
 from .poison import make_fingerprint
 from .relay import Ending, Outcome, Relay, StreamState
@@ -60,6 +61,8 @@
 HEAD_TIMEOUT_OBJECTIVES = 2.0
 # Lower bound of that timeout: twice the 99th percentile of plain services' latency.
 MIN_HEAD_TIMEOUT_S = 0.6
+# Outcome of a send whose request was withdrawn, as another server will be sooner.
+WITHDRAWN = "withdrawn from a slow server"
 # A resumable stream is continued at another server after this long without an event.
 STREAM_IDLE_TIMEOUT_S = 2.5
 # Retry-After where a service has no usable server; servers return within seconds.
@@ -261,7 +264,11 @@
         if self._head.deadline_s is not None:
             timeout_s = min(timeout_s, self._head.deadline_s)
         self._deadline_at = self._request.arrived_at + timeout_s
-        self._work = Work(parts=self._head.prefix, tokens=self._head.prompt_tokens)
+        self._work = Work(
+            parts=self._head.prefix,
+            tokens=self._head.prompt_tokens,
+            objective_s=self._route.objective_s,
+        )
         if self._route.kind is RequestKind.STREAM:
             self._stream = StreamState(last_event_id=self._head.last_event_id)
         self._fingerprint = make_fingerprint(
@@ -636,6 +643,9 @@
         assert self._head is not None and self._route is not None
         placement = self._services.placement
         ticket = next(send_ids)
+        expected_s = note_expected(
+            self._services, server, self._work, self._engine, ticket
+        )
         unread_tokens = placement.note_sent(server.id, self._work, ticket)
         is_waiting_for_head = True
 
@@ -645,7 +655,9 @@
                 is_waiting_for_head = False
                 placement.note_response_started(server.id, unread_tokens, ticket)
             if head.running is not None and head.waiting is not None:
-                placement.note_load_report(server.id, head.running, head.waiting)
+                placement.note_load_report(
+                    server.id, head.running, head.waiting, head.slowness
+                )
             self._services.note_answer_head(server, head)
 
         relay = Relay(
@@ -654,7 +666,7 @@
             self._head.request_id,
             self._stream,
             on_head,
-            lambda: self._note_begun(server, connection),
+            lambda: self._note_begun(server, connection, ticket),
             self._services.answer_memory,
         )
         self._connection = connection
@@ -668,7 +680,7 @@
         load_age_s = sent_at - load.reported_at
         connection.start(self._encode_request(server), relay)
         try:
-            outcome = await self._wait_for_response(server, relay)
+            outcome = await self._wait_for_response(server, relay, expected_s)
         finally:
             relay.release()
             if is_waiting_for_head:
@@ -690,15 +702,19 @@
             status=outcome.head.status if outcome.head else None,
             took_s=round(self._loop.time() - sent_at, 4),
             present=round(present, 1),
+            expected_s=None if expected_s is None else round(expected_s, 3),
             load_age_s=round(load_age_s, 2) if load_age_s < MAX_LOAD_AGE_S else None,
             unread_tokens=int(unread_tokens),
             failure_share=round(load.failure_share, 2),
         )
         return outcome
 
-    def _note_begun(self, server: BackendServer, connection: Connection) -> None:
+    def _note_begun(
+        self, server: BackendServer, connection: Connection, ticket: int
+    ) -> None:
         """Record that a server has begun to write its answer."""
         assert self._head is not None
+        self._services.placement.speed.note_begun(server.id, ticket)
         self._services.crashing_parts.note_begun(self._shared_parts)
         if self._stream is None or self._version is not None:
             return
@@ -748,11 +764,15 @@
         return head + self._request.body
 
     async def _wait_for_response(
-        self, server: BackendServer | None, relay: Relay
+        self,
+        server: BackendServer | None,
+        relay: Relay,
+        expected_s: float | None = None,
     ) -> Outcome:
         """Return the outcome, or a broken one where a timeout passes first.
 
-        `server` is None if the request was forwarded to another router.
+        `server` is None if the request was forwarded to another router. `expected_s` is
+        the expected time to the first event, None if the server reports no speed.
         A request that may still be sent to another server has a shorter timeout, until
         the head arrives.
         """
@@ -768,12 +788,11 @@
                     MIN_HEAD_TIMEOUT_S,
                     HEAD_TIMEOUT_OBJECTIVES * self._route.objective_s,
                 )
-                async with asyncio.timeout_at(
-                    min(timeout_at, self._loop.time() + wait_s)
-                ):
-                    await asyncio.shield(relay.head_done)
+                await self._wait_for_head(server, relay, expected_s, wait_s)
             async with asyncio.timeout_at(timeout_at):
                 return await self._watch_stream(relay, can_retry)
+        except WithdrawnError:
+            return Outcome(ending=Ending.BROKEN, reason=WITHDRAWN)
         except TimeoutError:
             is_past_deadline = self._loop.time() >= self._deadline_at
             if not is_past_deadline and server is not None:
@@ -783,6 +802,32 @@
         finally:
             self._services.links.remove_watcher(self._service, give_up)
 
+    async def _wait_for_head(
+        self,
+        server: BackendServer | None,
+        relay: Relay,
+        expected_s: float | None,
+        wait_s: float,
+    ) -> None:
+        """Wait for the head of a response that another server may give instead."""
+        timeout_at = self._deadline_at + TIMEOUT_MARGIN_S
+        if server is None or expected_s is None:
+            async with asyncio.timeout_at(min(timeout_at, self._loop.time() + wait_s)):
+                await asyncio.shield(relay.head_done)
+            return
+        tried = self._tried_server_ids
+        await wait_for_head(
+            self._services,
+            server,
+            relay,
+            self._work,
+            self._engine,
+            others=[s for s in self._list_usable() if s.id not in tried],
+            expected_s=expected_s,
+            usual_s=wait_s,
+            deadline_at=timeout_at,
+        )
+
     def _take_back(self, relay: Relay) -> None:
         """End the wait for a server out of reach, if another router may reach one."""
         if self._services.forwarder.has_target(self._service):
@@ -829,6 +874,8 @@
         self._may_have_run = True
         if outcome.reason == "time limit":
             return self._end_at_deadline()
+        if outcome.reason == WITHDRAWN:
+            return self._retry_or_fail(ResultCode.BACKEND_FAILED)
         self._services.note_failure(server, outcome.reason)
         if self._is_crash(outcome):
             await self._check_crash(server, outcome)
--- a/bronzesail/router/gauges.py
+++ b/bronzesail/router/gauges.py
@@ -48,4 +48,8 @@
     set_state("rows_written_again", application.keeper.rows_written_again)
     set_state("tokens_reclaimed", application.keeper.reclaimed_tokens)
     set_state("log_lines_dropped", application.log.dropped)
+    speed = application.placement.speed
+    set_state("servers_reporting_speed", speed.count_reporting())
+    set_state("server_slowness_highest", speed.find_highest())
+    set_state("requests_withdrawn", speed.n_withdrawn)
     set_state("background_failures", application.supervisor.n_failures)
--- a/bronzesail/router/placement.py
+++ b/bronzesail/router/placement.py
@@ -9,11 +9,15 @@
 from __future__ import annotations
 
 import hashlib
+import math
 from collections.abc import Sequence
+from random import Random
 from typing import TYPE_CHECKING
 
 import attrs
 
+from .estimates import ServerSpeed
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
@@ -49,6 +53,12 @@
 COLD_START_COST_S = 0.3  # A server is slow for a while after its start.
 # Delay of an engine's first token for each request that it runs already.
 RUNNING_REQUEST_COST_S = 0.004
+QUEUED_REQUEST_COST_S = 0.05  # Delay for each request ahead that waits for a slot.
+PLAIN_REQUEST_S = 0.05  # Time of a request at a plain service.
+# Servers whose costs differ by less than this, and this share of the least cost, count
+# as equal. Differences between stale reports are no smaller.
+NEAR_COST_S = 0.01
+NEAR_COST_SHARE = 0.1
 
 
 @attrs.frozen(kw_only=True)
@@ -62,10 +72,13 @@
         all but the last part, which belongs to this request alone.
     tokens : int
         Token count of the whole prompt.
+    objective_s : float
+        Time to the first event that the route aims at.
     """
 
     parts: Sequence[tuple[str, int]] = ()
     tokens: int = 0
+    objective_s: float = math.inf
 
 
 @attrs.define(kw_only=True)
@@ -139,14 +152,25 @@
         Data centre of this host.
     region_by_zone : dict
         Region of each data centre.
+    speed : ServerSpeed, optional
+        The speed of the servers, which none has reported by default.
+    random : Random, optional
+        Spreads requests among servers that are expected to respond equally soon.
     """
 
     def __init__(
-        self, now: Callable[[], float], zone: str, region_by_zone: dict[str, str]
+        self,
+        now: Callable[[], float],
+        zone: str,
+        region_by_zone: dict[str, str],
+        speed: ServerSpeed | None = None,
+        random: Random | None = None,
     ) -> None:
         self._now = now
         self._zone = zone
         self._region_by_zone = region_by_zone
+        self._random = random or Random()
+        self.speed = ServerSpeed(now) if speed is None else speed
         self.loads: dict[str, Load] = {}
 
     def get_load(self, server_id: str) -> Load:
@@ -159,6 +183,7 @@
     def retain_only(self, known: Iterable[str]) -> None:
         """Drop the loads of idle servers whose ids are not in `known`."""
         kept_ids = set(known)
+        self.speed.retain_only(kept_ids)
         for server_id in [key for key in self.loads if key not in kept_ids]:
             if not self.loads[server_id].in_flight:
                 del self.loads[server_id]
@@ -191,6 +216,8 @@
             return None
         now = self._now()
         healthy = [s for s in candidates if not self.is_ejected(s.id, now)]
+        if self.speed.is_reported(candidates):
+            return self._choose_by_time(healthy or candidates, work, engine, now)
         affinity_id = self._find_affinity_id(healthy or candidates, work)
         best: BackendServer | None = None
         best_cost = 0.0
@@ -228,8 +255,7 @@
         cost = self._estimate_distance(server)
         if server.cold_left_s > 0:
             cost += COLD_START_COST_S
-        if now - load.failed_at < FAILURE_COST_TTL_S:
-            cost += load.failure_share * FAILURE_COST_S
+        cost += self._estimate_failure_cost(load, now)
         if engine is None:
             return cost + n_requests / server.slots * 0.05
         prefill, cached_elsewhere = self._count_prefill(
@@ -243,6 +269,86 @@
             cost += n_excess * 0.05
         return cost
 
+    def _choose_by_time(
+        self,
+        servers: Sequence[BackendServer],
+        work: Work,
+        engine: Engine | None,
+        now: float,
+    ) -> BackendServer:
+        """Return a server with nearly the least cost, by the expected times.
+
+        The server with affinity for the prompt is found among those that are expected
+        to meet the route's objective, and chosen if it has the least cost. Otherwise
+        the better one of two random servers of nearly the least cost is chosen: other
+        routers that act on the same reports then choose others.
+        """
+        times = {s.id: self.estimate_time_s(s, work, engine, now) for s in servers}
+        punctual = [s for s in servers if times[s.id] <= work.objective_s]
+        affinity_id = self._find_affinity_id(punctual, work)
+        costs = {}
+        for server in servers:
+            load = self.get_load(server.id)
+            cost = times[server.id] + self._estimate_failure_cost(load, now)
+            _, cached_elsewhere = self._count_prefill(
+                load, server.id, work, affinity_id, now
+            )
+            costs[server.id] = cost + cached_elsewhere * CACHE_MISS_COST_S_PER_TOKEN
+        best = min(servers, key=lambda server: costs[server.id])
+        if best.id == affinity_id:
+            return best
+        limit = costs[best.id] * (1 + NEAR_COST_SHARE) + NEAR_COST_S
+        near = [server for server in servers if costs[server.id] <= limit]
+        n_drawn = max(1, min(2, len(near) - 1))
+        drawn = self._random.sample(near, n_drawn)
+        return min(drawn, key=lambda server: costs[server.id])
+
+    def estimate_time_s(
+        self, server: BackendServer, work: Work, engine: Engine | None, now: float
+    ) -> float:
+        """Return the expected seconds from a send to the first event."""
+        load = self.get_load(server.id)
+        n_requests = self.estimate_requests(server.id, now)
+        if engine is None:
+            busy_s = max(1.0, (n_requests + 1) / server.slots) * PLAIN_REQUEST_S
+        else:
+            prefill, _ = self._count_prefill(load, server.id, work, server.id, now)
+            n_waiting = load.reported_waiting if self.is_queueing(server.id) else 0
+            n_ahead = max(0.0, n_requests + 1 - server.slots, n_waiting)
+            busy_s = (load.unread_tokens + prefill) / PREFILL_RATE_TOKENS_PER_S
+            busy_s += min(n_requests, server.slots) * RUNNING_REQUEST_COST_S
+            busy_s += n_ahead * QUEUED_REQUEST_COST_S
+        expected_s = busy_s * self.speed.find_factor(server)
+        expected_s += self._estimate_distance(server)
+        if server.cold_left_s > 0:
+            expected_s += COLD_START_COST_S
+        return expected_s + self.speed.find_overdue_s(server.id)
+
+    def estimate_least_time_s(
+        self,
+        servers: Iterable[BackendServer],
+        work: Work,
+        engine: Engine | None,
+    ) -> float:
+        """Return the least expected time at servers with a free slot.
+
+        It is infinite if there are none. Ejected servers do not count.
+        """
+        now = self._now()
+        times = (
+            self.estimate_time_s(server, work, engine, now)
+            for server in servers
+            if self.estimate_requests(server.id, now) < server.slots
+            and not self.is_ejected(server.id, now)
+        )
+        return min(times, default=math.inf)
+
+    def _estimate_failure_cost(self, load: Load, now: float) -> float:
+        """Return the penalty for a server's recent failures, in seconds."""
+        if now - load.failed_at >= FAILURE_COST_TTL_S:
+            return 0.0
+        return load.failure_share * FAILURE_COST_S
+
     def estimate_requests(self, server_id: str, now: float) -> float:
         """Return the estimated number of requests that run or wait at a server.
 
@@ -308,9 +414,17 @@
         load = self.get_load(server_id)
         load.in_flight = max(0, load.in_flight - 1)
         load.unanswered_since.pop(send_id, None)
+        self.speed.note_ended(server_id, send_id)
 
-    def note_load_report(self, server_id: str, running: int, waiting: int) -> None:
-        """Record the load that a server has reported with an answer."""
+    def note_load_report(
+        self,
+        server_id: str,
+        running: int,
+        waiting: int,
+        slowness: float | None = None,
+    ) -> None:
+        """Record the load, and perhaps the slowness, that a server has reported."""
+        self.speed.note_report(server_id, slowness)
         load = self.get_load(server_id)
         load.reported_requests = running + waiting
         load.reported_waiting = waiting
--- a/bronzesail/router/retry_budget.py
+++ b/bronzesail/router/retry_budget.py
@@ -67,18 +67,8 @@
         self._requests.append(now)
         _drop_before(self._requests, now - N_WINDOWS * self._window_s)
 
-    def try_acquire(self, ratio: float, slack: float, hosts: int | None) -> bool:
-        """Record a retry if the limit allows it; return whether it does.
-
-        Parameters
-        ----------
-        ratio : float
-            Retries that the fleet may send for each request.
-        slack : float
-            Retries that the fleet may send in a window in addition.
-        hosts : int or None
-            Routers that share the slack. None of it is spent while this is unknown.
-        """
+    def has_room(self, ratio: float, slack: float, hosts: int | None) -> bool:
+        """Whether the limit allows a retry now; see `try_acquire`."""
         now = self._now()
         _drop_before(self._requests, now - N_WINDOWS * self._window_s)
         _drop_before(self._retries, now - self._window_s)
@@ -94,7 +84,23 @@
             n_requests = len(requests) - bisect_left(requests, start - self._window_s)
             if len(starts) - index > retries_per_request * n_requests + slack_share:
                 return False
-        self._retries.append(now)
+        return True
+
+    def try_acquire(self, ratio: float, slack: float, hosts: int | None) -> bool:
+        """Record a retry if the limit allows it; return whether it does.
+
+        Parameters
+        ----------
+        ratio : float
+            Retries that the fleet may send for each request.
+        slack : float
+            Retries that the fleet may send in a window in addition.
+        hosts : int or None
+            Routers that share the slack. None of it is spent while this is unknown.
+        """
+        if not self.has_room(ratio, slack, hosts):
+            return False
+        self._retries.append(self._now())
         return True
 
 
--- a/bronzesail/router/services.py
+++ b/bronzesail/router/services.py
@@ -92,6 +92,13 @@
             )
         return budget
 
+    def has_retry(self, service: str) -> bool:
+        """Whether the retry budget of a service has room for a retry now."""
+        bounds = self.settings.bounds
+        return self.retry_budget(service).has_room(
+            bounds.retry_ratio, bounds.retry_slack, self.count_hosts()
+        )
+
     def count_hosts(self) -> int | None:
         """Return how many routers share the fleet's limits, None while unknown."""
         if not self.neighbourhood.has_read_rows:
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -261,6 +261,45 @@
     assert b"X-Server-Seal: s\r\n" in head.passed_on
 
 
+def read_load(value):
+    reader = AnswerHeadReader()
+    reader.add(b"X-Server-Load", value)
+    return reader.finish(200)
+
+
+def test_a_report_of_three_figures_has_no_slowness():
+    head = read_load(b"3,1,8")
+    assert (head.slots, head.slowness, head.malformed) == (8, None, ())
+    # Read as by earlier builds, whatever the slots are.
+    assert read_load(b"9,1,8").running == 9
+
+
+@pytest.mark.parametrize(
+    ("value", "slowness"),
+    [(b"3,1,8,100", 1.0), (b"3, 1, 8, 250", 2.5), (b"3,1,8,112.5,7", 1.125)],
+)
+def test_the_fourth_figure_is_the_slowness(value, slowness):
+    head = read_load(value)
+    assert (head.running, head.waiting, head.slots) == (3, 1, 8)
+    assert (head.slowness, head.malformed) == (slowness, ())
+
+
+# Guards against a figure that ends the service or makes a server look infinitely fast.
+@pytest.mark.parametrize(
+    "figure", [b"0", b"", b"x", b"-1", b"nan", b"1e9", b"9" * 1000, b"100001"]
+)
+def test_a_malformed_slowness_leaves_the_load_valid(figure):
+    head = read_load(b"3,1,8," + figure)
+    assert (head.running, head.waiting, head.slowness) == (3, 1, None)
+    assert head.malformed == ("X-Server-Load",)
+
+
+def test_more_running_than_slots_make_a_report_with_slowness_malformed():
+    head = read_load(b"9,1,8,100")
+    assert (head.running, head.waiting, head.slowness) == (None, None, None)
+    assert head.malformed == ("X-Server-Load",)
+
+
 @pytest.mark.parametrize("code", list(ResultCode))
 @pytest.mark.parametrize("is_not_run", [True, False])
 def test_refusal_of_an_executed_request_has_no_not_executed_status(code, is_not_run):
