admission: where servers report their speed, requests that would start too late are refused

The queue orders by priority and arrival and holds each request for a quarter of its time, also if the places that become free cannot suffice. With start estimates, the request whose time runs out first goes first among equals, one that would start too late or would make a queued one late is refused at once with the time at which capacity is expected, one that came back after a refusal goes before later ones, and each eighth place goes to the longest wait. A place whose caller leaves is free at once.

--- a/bronzesail/router/admission_queue.py
+++ b/bronzesail/router/admission_queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import bisect
 import heapq
 import itertools
 import math
@@ -12,12 +13,14 @@
 import attrs
 
 from ..model import BackendServer, Engine
+from .estimates import Claim
 from .placement import Work
 from .withdrawals import RAMP_S
 
 if TYPE_CHECKING:
     from .brittle_servers import BrittleServers
     from .directory import Directory
+    from .estimates import StartTimes
     from .placement import Placement
     from .server_limits import ServerLimits
     from .server_lives import ServerLives
@@ -29,6 +32,8 @@
 # The same for a plain service. A plain request runs for a tenth of its latency
 # objective, so that four per slot, one after the other, fit into it.
 PLAIN_REQUESTS_PER_SLOT = 4.0
+# Interval at which the estimated starts of all queued requests are checked again.
+REVIEW_S = 0.25
 RECHECK_S = 0.05  # The end of other routers' requests triggers no event here.
 
 
@@ -42,6 +47,7 @@
     excluded: Sequence[str]
     future: asyncio.Future[BackendServer | None]
     deadline: float
+    claim: Claim | None = None  # None if the service has no start estimates.
 
 
 class AdmissionQueue:
@@ -59,6 +65,8 @@
         The room at servers that must not reject many requests.
     lives : ServerLives
         The servers whose version is in doubt, which no stream may go on at.
+    start_times : StartTimes, optional
+        Estimates when queued requests start; by default there are no estimates.
     """
 
     def __init__(
@@ -68,14 +76,18 @@
         limits: ServerLimits,
         brittle: BrittleServers,
         lives: ServerLives,
+        start_times: StartTimes | None = None,
     ) -> None:
         self._directory = directory
         self._placement = placement
         self._limits = limits
         self._brittle = brittle
         self._lives = lives
+        self._start_times = start_times
+        self._reviews: set[str] = set()  # Services with a review under way.
         self._permit_timers: dict[str, asyncio.TimerHandle] = {}
-        self._queues: dict[str, list[tuple[int, int, _QueuedRequest]]] = {}
+        # By priority, order among equals and arrival.
+        self._queues: dict[str, list[tuple[int, float, int, _QueuedRequest]]] = {}
         self._sequence = itertools.count()
 
     async def find_server(
@@ -87,6 +99,7 @@
         rank: int,
         deadline: float,
         version: str | None = None,
+        claim: Claim | None = None,
     ) -> BackendServer | None:
         """Return a server with capacity, waiting for one if necessary.
 
@@ -109,17 +122,46 @@
             Time on the event loop's clock after which None is returned.
         version : str, optional
             Software version of the servers to choose from; all by default.
+        claim : Claim, optional
+            The order of the request, and whether it would start too late; used where
+            servers report their speed.
         """
+        queued_claim = claim if self._has_estimates(service) else None
+        server = await self._find_server(
+            service, work, engine, excluded, rank, deadline, version, queued_claim
+        )
+        if self._start_times is not None and queued_claim is not None:
+            if server is None:
+                self._start_times.note_refused(queued_claim)
+            else:
+                self._start_times.note_served(queued_claim)
+        return server
+
+    async def _find_server(
+        self,
+        service: str,
+        work: Work,
+        engine: Engine | None,
+        excluded: Sequence[str],
+        rank: int,
+        deadline: float,
+        version: str | None,
+        claim: Claim | None,
+    ) -> BackendServer | None:
+        """Return a server with capacity, None if there is none in time."""
         loop = asyncio.get_running_loop()
         queued = _QueuedRequest(
-            work, engine, version, excluded, loop.create_future(), deadline
+            work, engine, version, excluded, loop.create_future(), deadline, claim
         )
+        order = self._find_order(service, queued, rank)
+        if order is None:
+            return None
         if not self._has_waiting(service, version):
             server = self._choose_server(service, queued)
             if server is not None:
                 return server
         queue = self._queues.setdefault(service, [])
-        heapq.heappush(queue, (rank, next(self._sequence), queued))
+        heapq.heappush(queue, (rank, order, next(self._sequence), queued))
         timer = loop.call_later(RECHECK_S, self._recheck, service)
         try:
             async with asyncio.timeout_at(deadline):
@@ -130,22 +172,95 @@
         except asyncio.CancelledError:
             server = queued.future.result() if queued.future.done() else None
             if server is not None:
-                self._placement.note_assignment_ended(server.id)
+                self.end_assignment(server)
             raise
         finally:
             timer.cancel()
             queued.future.cancel()
 
+    def end_assignment(self, server: BackendServer) -> None:
+        """Record that the assignment of a request to a server has ended.
+
+        If the request is not sent, its place is free for the next one at once.
+        """
+        self._placement.note_assignment_ended(server.id)
+        if self._has_estimates(server.service):
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self.dispatch, server.service)
+
+    def _has_estimates(self, service: str) -> bool:
+        """Whether the start of a service's requests is estimated."""
+        return self._start_times is not None and self._placement.speed.is_reported(
+            self._directory.list_usable(service)
+        )
+
+    def _find_order(
+        self, service: str, queued: _QueuedRequest, rank: int
+    ) -> float | None:
+        """Return the order of a request among equals, None if it would be too late."""
+        if self._start_times is None or queued.claim is None:
+            return 0.0
+        run_s = self._estimate_run_s(service, queued)
+        times, claim = self._start_times, queued.claim
+        order = times.note_waiting(claim, run_s, queued.deadline)
+        waiting = sorted(
+            entry
+            for entry in self._queues.get(service, ())
+            if not entry[-1].future.done()
+        )
+        n_ahead = bisect.bisect(waiting, (rank, order), key=lambda entry: entry[:2])
+        later = [
+            entry[-1].claim
+            for entry in waiting[n_ahead:]
+            if entry[0] == rank and entry[-1].claim is not None
+        ]
+        is_late = times.is_late(claim, service, n_ahead if waiting else -1)
+        if is_late or (
+            times.find_first_arrival(claim) is None
+            and times.displaces(service, n_ahead, later)
+        ):
+            times.refuse(claim, service, len(waiting), run_s)
+            return None
+        return order
+
+    def _estimate_run_s(self, service: str, queued: _QueuedRequest) -> float:
+        """Return the least time to the first event at any server, full ones too."""
+        servers = self._directory.list_usable(service, queued.version)
+        return self._placement.estimate_least_time_s(
+            [server for server in servers if server.id not in queued.excluded],
+            queued.work,
+            queued.engine,
+            may_be_full=True,
+        )
+
+    def _refuse_late(self, service: str) -> None:
+        """End the wait of queued requests that would start too late by now."""
+        queue = [e for e in self._queues.get(service, ()) if not e[-1].future.done()]
+        if self._start_times is None or not queue:
+            return
+        # Without a prompt, so that no request is refused for the prompt of another.
+        run_s = self._estimate_run_s(
+            service, attrs.evolve(queue[0][-1], work=Work(), excluded=())
+        )
+        n_ahead = 0
+        for *_, queued in sorted(queue):
+            claim = queued.claim
+            if claim is not None and self._start_times.is_late(claim, service, n_ahead):
+                self._start_times.refuse(claim, service, len(queue), run_s)
+                queued.future.set_result(None)
+                continue
+            n_ahead += 1
+
     def _has_waiting(self, service: str, version: str | None) -> bool:
         """Whether queued requests go before a new one, which may name a version."""
         return any(
             not queued.future.done() and queued.version in (None, version)
-            for _, _, queued in self._queues.get(service, ())
+            for *_, queued in self._queues.get(service, ())
         )
 
     def count_waiting(self, service: str) -> int:
         """Return the number of queued requests of a service."""
-        return sum(not w.future.done() for _, _, w in self._queues.get(service, ()))
+        return sum(not w.future.done() for *_, w in self._queues.get(service, ()))
 
     def list_waiting(self) -> list[str]:
         """Return the services with queued requests."""
@@ -199,7 +314,7 @@
     def _count_ahead(self, service: str, rank: int) -> int:
         """Return how many queued requests go before a new one of a priority."""
         queue = self._queues.get(service, ())
-        return sum(other <= rank and not w.future.done() for other, _, w in queue)
+        return sum(other <= rank and not w.future.done() for other, *_, w in queue)
 
     def note_pause(self, service: str, ends_at: float) -> None:
         """End the wait of requests that no server will accept in time.
@@ -211,7 +326,7 @@
         ends_at : float
             When its pause ends and queued requests are sent to it again.
         """
-        for _, _, queued in self._queues.get(service, ()):
+        for *_, queued in self._queues.get(service, ()):
             resume_at = self.find_resume_time(
                 service, queued.excluded, version=queued.version
             )
@@ -238,10 +353,13 @@
         queue = self._queues.get(service)
         if not queue:
             return
-        passed_over = []
+        passed_over: list[tuple[int, float, int, _QueuedRequest]] = []
+        longest = self._pop_longest_waiting(service, queue)
         is_assigned = False
-        while queue and not is_assigned:
-            entry = heapq.heappop(queue)
+        while (longest or queue) and not is_assigned:
+            is_longest = longest is not None
+            entry = longest or heapq.heappop(queue)
+            longest = None
             queued = entry[-1]
             if queued.future.done():
                 continue
@@ -249,9 +367,11 @@
             if server is not None:
                 queued.future.set_result(server)
                 is_assigned = True
+                if self._start_times is not None:
+                    self._start_times.note_placed(service)
                 continue
             passed_over.append(entry)
-            if queued.version is None:
+            if queued.version is None and not is_longest:
                 break
         for entry in passed_over:
             heapq.heappush(queue, entry)
@@ -260,6 +380,25 @@
         elif passed_over:
             self._dispatch_at_next_permit(service)
 
+    def _pop_longest_waiting(
+        self, service: str, queue: list[tuple[int, float, int, _QueuedRequest]]
+    ) -> tuple[int, float, int, _QueuedRequest] | None:
+        """Remove and return the longest waiting request if the next place is its.
+
+        If it cannot be placed, the place is for the first request of the queue.
+        """
+        if self._start_times is None or not self._has_estimates(service):
+            return None
+        if not self._start_times.is_longest_wait_next(service):
+            return None
+        waiting = [entry for entry in queue if not entry[-1].future.done()]
+        if not waiting:
+            return None
+        entry = min(waiting, key=lambda entry: entry[2])
+        queue.remove(entry)
+        heapq.heapify(queue)
+        return entry
+
     def _dispatch_at_next_permit(self, service: str) -> None:
         """Dispatch again when a server with a limit accepts the next request."""
         waits_s = [
@@ -291,9 +430,19 @@
     def _recheck(self, service: str) -> None:
         """Retry now, and once more later if requests are still queued."""
         self.dispatch(service)
-        if self.count_waiting(service):
-            loop = asyncio.get_running_loop()
-            loop.call_later(RECHECK_S, self.dispatch, service)
+        if not self.count_waiting(service):
+            return
+        loop = asyncio.get_running_loop()
+        if service not in self._reviews and self._has_estimates(service):
+            self._reviews.add(service)
+            loop.call_later(REVIEW_S, self._review, service)
+        loop.call_later(RECHECK_S, self.dispatch, service)
+
+    def _review(self, service: str) -> None:
+        """Dispatch and refuse late requests, until none waits."""
+        self._reviews.discard(service)
+        self._refuse_late(service)
+        self._recheck(service)
 
     def _choose_server(
         self, service: str, queued: _QueuedRequest
--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -23,7 +23,7 @@
 from .clocks import read_clock
 from .crashing_parts import CrashingParts
 from .directory import Directory
-from .estimates import ServerSpeed
+from .estimates import ServerSpeed, StartTimes
 from .exchange import Exchange
 from .features import DISABLED_FEATURES_VARIABLE, read_disabled_features
 from .forwarding import Forwarder
@@ -189,8 +189,18 @@
         )
         self.pool = ClientPool(loop)
         self.lives = ServerLives(loop, self.log, self.pool, self.directory)
+        self.start_times = (
+            None
+            if Feature.START_ESTIMATES in self._disabled_features
+            else StartTimes(loop.time)
+        )
         self.line = AdmissionQueue(
-            self.directory, self.placement, self.limits, self.brittle, self.lives
+            self.directory,
+            self.placement,
+            self.limits,
+            self.brittle,
+            self.lives,
+            self.start_times,
         )
         self.book = BudgetBook(
             settings.host,
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -20,6 +20,7 @@
     read_request_head,
 )
 from .connecting import Connector, send_ids
+from .estimates import Claim
 from .forwarding import MAX_FORWARDS
 from .head_waiting import WithdrawnError, note_expected, wait_for_head
 from .placement import Work
@@ -346,7 +347,7 @@
             self._check_still_allowed()
             connection = await self._connect(server)
         finally:
-            self._services.placement.note_assignment_ended(server.id)
+            self._services.admission_queue.end_assignment(server)
         if connection is None:
             return False
         if not self._services.is_available(
@@ -514,6 +515,11 @@
         wait_until = self._loop.time() + wait_s
         asked_at = self._loop.time()
         self._refuse_if_hopeless(wait_until)
+        claim = Claim(
+            deadline_at=self._deadline_at,
+            arrived_at=self._request.arrived_at,
+            key=self._fingerprint,
+        )
         server = await self._services.admission_queue.find_server(
             self._service,
             self._work,
@@ -522,10 +528,15 @@
             self._priority,
             wait_until,
             self._version,
+            claim,
         )
         self._place_wait_s += self._loop.time() - asked_at
         if server is not None:
             return server
+        if claim.capacity_at is not None:
+            raise self._make_overloaded_error(
+                claim.capacity_at, "no server is expected to respond in time"
+            )
         self._refuse_if_hopeless(wait_until)
         if self._list_usable():
             raise self._make_overloaded_error()
@@ -558,7 +569,11 @@
         """Return the servers that this request may be sent to."""
         return self._services.directory.list_usable(self._service, self._version)
 
-    def _make_overloaded_error(self, resume_at: float | None = None) -> _RefusedError:
+    def _make_overloaded_error(
+        self,
+        resume_at: float | None = None,
+        detail: str = "all servers pause or limit their requests",
+    ) -> _RefusedError:
         """Return the refusal of a request that finds no place at a server.
 
         `resume_at` is when the first server accepts requests of this router again,
@@ -574,7 +589,7 @@
         pause_s = resume_at - self._loop.time()
         return self._make_refusal_error(
             ResultCode.OVERLOADED,
-            "all servers pause or limit their requests",
+            detail,
             retry_after_s=pause_s * self._services.random.uniform(1.0, 1.25),
         )
 
--- a/bronzesail/router/gauges.py
+++ b/bronzesail/router/gauges.py
@@ -52,4 +52,8 @@
     set_state("servers_reporting_speed", speed.count_reporting())
     set_state("server_slowness_highest", speed.find_highest())
     set_state("requests_withdrawn", speed.n_withdrawn)
+    start_times = application.start_times
+    if start_times is not None:
+        set_state("requests_refused_as_late", start_times.n_refused)
+        set_state("requests_returned_after_refusal", start_times.n_returned)
     set_state("background_failures", application.supervisor.n_failures)
--- a/bronzesail/router/placement.py
+++ b/bronzesail/router/placement.py
@@ -329,16 +329,19 @@
         servers: Iterable[BackendServer],
         work: Work,
         engine: Engine | None,
+        *,
+        may_be_full: bool = False,
     ) -> float:
         """Return the least expected time at servers with a free slot.
 
-        It is infinite if there are none. Ejected servers do not count.
+        It is infinite if there are none. Ejected servers do not count, full ones only
+        if `may_be_full` is set.
         """
         now = self._now()
         times = (
             self.estimate_time_s(server, work, engine, now)
             for server in servers
-            if self.estimate_requests(server.id, now) < server.slots
+            if (may_be_full or self.estimate_requests(server.id, now) < server.slots)
             and not self.is_ejected(server.id, now)
         )
         return min(times, default=math.inf)
