--- a/bronzesail/model/_types.py
+++ b/bronzesail/model/_types.py
@@ -200,7 +200,8 @@
     brittle. `cold_left_s` is how long the server stays cold, None if it is not stated.
     `store_era` is sent by the
     store only, and rises whenever it comes back from an older copy. `malformed` names
-    ignored headers.
+    ignored headers. `slots` and `slowness` come with the load; `slowness` is how long
+    work takes at the server, 1.0 as usual, None if the server does not report it.
     """
 
     status: int
@@ -219,6 +220,8 @@
     cold_left_s: float | None = None
     malformed: tuple[str, ...] = ()
     store_era: int | None = None
+    slots: int | None = None
+    slowness: float | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -25,6 +25,7 @@
 from .crashing_parts import CrashingParts
 from .directory import Directory
 from .eligibility import Evacuations, find_unknown_regions
+from .estimates import ServerSpeed, StartTimes
 from .exchange import Exchange
 from .features import DISABLED_FEATURES_VARIABLE, read_disabled_features
 from .forwarding import Forwarder
@@ -167,6 +168,11 @@
             loop.time,
             settings.zone,
             settings.region_by_zone,
+            ServerSpeed(
+                loop.time,
+                is_enabled=Feature.SERVER_SPEED not in self._disabled_features,
+            ),
+            self._random,
             lambda: self.entry.is_congested(),
         )
         self.neighbourhood = Neighbourhood(
@@ -211,6 +217,10 @@
             self.placement,
             self.cold.find_cold_left_s,
             Feature.SERVER_PACE not in self._disabled_features,
+            reports_speed=lambda service: self.placement.speed.is_reported(
+                self.directory.list_usable(service)
+            ),
+            find_slowness=self.placement.speed.find_slowness,
             get_taken_back_at=self.directory.get_taken_back_at,
         )
         self.placement.find_start_cost_s = self.pace.find_cost_s
@@ -222,6 +232,11 @@
         )
         self.pool = ClientPool(loop, usage)
         self.lives = ServerLives(loop, self.log, self.pool, self.directory)
+        self.start_times = (
+            None
+            if Feature.START_ESTIMATES in self._disabled_features
+            else StartTimes(loop.time)
+        )
         self.line = AdmissionQueue(
             self.directory,
             self.placement,
@@ -229,6 +244,7 @@
             self.brittle,
             self.lives,
             self.pace,
+            self.start_times,
         )
         self.book = BudgetBook(
             settings.host,
--- a/bronzesail/router/connecting.py
+++ b/bronzesail/router/connecting.py
@@ -118,6 +118,10 @@
         services.cold.take_permit(server)  # The question is a request, too.
 
         def on_head(head: AnswerHead) -> None:
+            if head.slowness is not None and None not in (head.running, head.waiting):
+                services.placement.note_load_report(
+                    server.id, head.running or 0, head.waiting or 0, head.slowness
+                )
             services.note_answer_head(server, head)
 
         # A question that hangs shows, like a request, that the server is out of reach.
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -22,7 +22,9 @@
 from .admission import LinkRequest
 from .connecting import Connector, send_ids
 from .eligibility import HomeRegions
+from .estimates import Claim
 from .forwarding import MAX_FORWARDS
+from .head_waiting import WithdrawnError, note_expected, wait_for_head
 from .placement import Work
 from .poison import make_fingerprint
 from .relay import Ending, Outcome, Relay, StreamState
@@ -62,6 +64,8 @@
 HEAD_TIMEOUT_OBJECTIVES = 2.0
 # Lower bound of that timeout: twice the 99th percentile of plain services' latency.
 MIN_HEAD_TIMEOUT_S = 0.6
+# Outcome of a send whose request was withdrawn, as another server will be sooner.
+WITHDRAWN = "withdrawn from a slow server"
 # A resumable stream is continued at another server after this long without an event.
 STREAM_IDLE_TIMEOUT_S = 2.5
 # Retry-After where a service has no usable server; servers return within seconds.
@@ -278,7 +282,11 @@
         if self._head.deadline_s is not None:
             timeout_s = min(timeout_s, self._head.deadline_s)
         self._deadline_at = self._request.arrived_at + timeout_s
-        self._work = Work(parts=self._head.prefix, tokens=self._head.prompt_tokens)
+        self._work = Work(
+            parts=self._head.prefix,
+            tokens=self._head.prompt_tokens,
+            objective_s=self._route.objective_s,
+        )
         if self._route.kind is RequestKind.STREAM:
             self._stream = StreamState(last_event_id=self._head.last_event_id)
         self._fingerprint = make_fingerprint(
@@ -381,7 +389,7 @@
             self._check_still_allowed()
             connection = await self._connect(server)
         finally:
-            self._services.placement.note_assignment_ended(server.id)
+            self._services.admission_queue.end_assignment(server)
         if connection is None:
             return False
         if not self._services.is_available(
@@ -556,6 +564,11 @@
         wait_until = self._loop.time() + wait_s
         asked_at = self._loop.time()
         self._refuse_if_hopeless(wait_until)
+        claim = Claim(
+            deadline_at=self._deadline_at,
+            arrived_at=self._request.arrived_at,
+            key=self._fingerprint,
+        )
         server = await self._services.admission_queue.find_server(
             self._service,
             self._work,
@@ -565,10 +578,15 @@
             wait_until,
             self._version,
             self._homes.find,
+            claim,
         )
         self._place_wait_s += self._loop.time() - asked_at
         if server is not None:
             return server
+        if claim.capacity_at is not None:
+            raise self._make_overloaded_error(
+                claim.capacity_at, "no server is expected to respond in time"
+            )
         self._refuse_if_hopeless(wait_until)
         if self._list_usable():
             raise self._make_overloaded_error()
@@ -615,7 +633,11 @@
             self._service, self._version, self._homes.find()
         )
 
-    def _make_overloaded_error(self, resume_at: float | None = None) -> _RefusedError:
+    def _make_overloaded_error(
+        self,
+        resume_at: float | None = None,
+        detail: str = "all servers pause or limit their requests",
+    ) -> _RefusedError:
         """Return the refusal of a request that finds no place at a server.
 
         `resume_at` is when the first server accepts requests of this router again,
@@ -631,7 +653,7 @@
         pause_s = resume_at - self._loop.time()
         return self._make_refusal_error(
             ResultCode.OVERLOADED,
-            "all servers pause or limit their requests",
+            detail,
             retry_after_s=pause_s * self._services.random.uniform(1.0, 1.25),
         )
 
@@ -700,6 +722,9 @@
         assert self._head is not None and self._route is not None
         placement = self._services.placement
         ticket = next(send_ids)
+        expected_s = note_expected(
+            self._services, server, self._work, self._engine, ticket
+        )
         unread_tokens = placement.note_sent(server.id, self._work, ticket)
         is_waiting_for_head = True
 
@@ -709,13 +734,15 @@
                 is_waiting_for_head = False
                 placement.note_response_started(server.id, unread_tokens, ticket)
             if head.running is not None and head.waiting is not None:
-                placement.note_load_report(server.id, head.running, head.waiting)
+                placement.note_load_report(
+                    server.id, head.running, head.waiting, head.slowness
+                )
             self._services.note_answer_head(server, head)
 
         def on_begun() -> None:
             latency_s = self._loop.time() - sent_at
             self._services.pace.note_answer(server, latency_s, unread_tokens)
-            self._note_begun(server, connection)
+            self._note_begun(server, connection, ticket)
 
         relay = Relay(
             self._loop,
@@ -737,7 +764,7 @@
         load_age_s = sent_at - load.reported_at
         connection.start(self._encode_request(server), relay)
         try:
-            outcome = await self._wait_for_response(server, relay)
+            outcome = await self._wait_for_response(server, relay, expected_s)
         finally:
             relay.release()
             if is_waiting_for_head:
@@ -759,15 +786,19 @@
             status=outcome.head.status if outcome.head else None,
             took_s=round(self._loop.time() - sent_at, 4),
             present=round(present, 1),
+            expected_s=None if expected_s is None else round(expected_s, 3),
             load_age_s=round(load_age_s, 2) if load_age_s < MAX_LOAD_AGE_S else None,
             unread_tokens=int(unread_tokens),
             failure_share=round(load.failure_share, 2),
         )
         return outcome
 
-    def _note_begun(self, server: BackendServer, connection: Connection) -> None:
+    def _note_begun(
+        self, server: BackendServer, connection: Connection, ticket: int
+    ) -> None:
         """Record that a server has begun to write its answer."""
         assert self._head is not None
+        self._services.placement.speed.note_begun(server.id, ticket)
         self._services.crashing_parts.note_begun(self._shared_parts)
         if self._stream is None or self._version is not None:
             return
@@ -817,11 +848,15 @@
         return head + self._request.body
 
     async def _wait_for_response(
-        self, server: BackendServer | None, relay: Relay
+        self,
+        server: BackendServer | None,
+        relay: Relay,
+        expected_s: float | None = None,
     ) -> Outcome:
         """Return the outcome, or a broken one where a timeout passes first.
 
-        `server` is None if the request was forwarded to another router.
+        `server` is None if the request was forwarded to another router. `expected_s` is
+        the expected time to the first event, None if the server reports no speed.
         A request that may still be sent to another server has a shorter timeout, until
         the head arrives.
         """
@@ -833,9 +868,11 @@
             self._services.links.add_watcher(self._service, give_up)
         try:
             if can_retry:
-                await self._wait_for_head(relay, timeout_at)
+                await self._wait_for_head(server, relay, expected_s)
             async with asyncio.timeout_at(timeout_at):
                 return await self._watch_stream(relay, can_retry)
+        except WithdrawnError:
+            return Outcome(ending=Ending.BROKEN, reason=WITHDRAWN)
         except TimeoutError:
             is_past_deadline = self._loop.time() >= self._deadline_at
             if not is_past_deadline and server is not None:
@@ -845,8 +882,10 @@
         finally:
             self._services.links.remove_watcher(self._service, give_up)
 
-    async def _wait_for_head(self, relay: Relay, timeout_at: float) -> None:
-        """Wait until the response begins, for as long as other servers are not tried.
+    async def _wait_for_head(
+        self, server: BackendServer | None, relay: Relay, expected_s: float | None
+    ) -> None:
+        """Wait for the head of a response that another server may give instead.
 
         Raises
         ------
@@ -855,9 +894,30 @@
             would only add load.
         """
         assert self._route is not None
+        timeout_at = self._deadline_at + TIMEOUT_MARGIN_S
         wait_s = max(
             MIN_HEAD_TIMEOUT_S, HEAD_TIMEOUT_OBJECTIVES * self._route.objective_s
         )
+        if server is None or expected_s is None or self._services.entry.is_congested():
+            await self._wait_for_usual_time(relay, timeout_at, wait_s)
+            return
+        tried = self._tried_server_ids
+        await wait_for_head(
+            self._services,
+            server,
+            relay,
+            self._work,
+            self._engine,
+            others=[s for s in self._list_usable() if s.id not in tried],
+            expected_s=expected_s,
+            usual_s=wait_s,
+            deadline_at=timeout_at,
+        )
+
+    async def _wait_for_usual_time(
+        self, relay: Relay, timeout_at: float, wait_s: float
+    ) -> None:
+        """Wait for a head for as long as other servers are usually not tried."""
         try:
             async with asyncio.timeout_at(min(timeout_at, self._loop.time() + wait_s)):
                 await asyncio.shield(relay.head_done)
@@ -912,6 +972,8 @@
         self._may_have_run = True
         if outcome.reason == "time limit":
             return self._end_at_deadline()
+        if outcome.reason == WITHDRAWN:
+            return self._retry_or_fail(ResultCode.BACKEND_FAILED)
         self._services.note_failure(server, outcome.reason)
         is_link_to_blame = self._services.is_link_to_blame(outcome.reason)
         if self._is_crash(outcome) and not is_link_to_blame:
--- a/tests/test_router/test_link_protection.py
+++ b/tests/test_router/test_link_protection.py
@@ -160,7 +160,9 @@
     clock = ManualClock()
     directory, server = Directory(clock), make_server("a")
     directory.put(server)
-    placement = Placement(clock, "z1", {"z1": "r1"}, lambda: is_congested)
+    placement = Placement(
+        clock, "z1", {"z1": "r1"}, is_link_congested=lambda: is_congested
+    )
     links = ServerLinks(
         SimpleNamespace(time=clock, call_later=lambda *_: None),
         RecordingLog(),
@@ -169,7 +171,7 @@
         placement,
         print,
         lambda: None,
-        lambda: is_congested,
+        is_congested=lambda: is_congested,
     )
     links._request_check = lambda services: None
     links.note_unreachable(server, reason)
@@ -180,7 +182,9 @@
 @pytest.mark.parametrize("is_congested", [True, False])
 def test_silence_on_a_full_link_does_not_eject_servers(is_congested):
     clock = ManualClock()
-    placement = Placement(clock, "z1", {"z1": "r1"}, lambda: is_congested)
+    placement = Placement(
+        clock, "z1", {"z1": "r1"}, is_link_congested=lambda: is_congested
+    )
     placement.note_sent("a", Work(), 1)
     clock.now += 5.0
     assert placement.is_ejected("a", clock.now) is not is_congested
