router: one bound for what is held for slow callers and servers

Cause: each caller's write buffer has a high-water mark of its own, but the unsent bytes of all callers and servers together, and request bodies that are being read, had no bound. A process above its memory limit is killed.

Change: CallerMemory counts them for all connections and bounds them to a fifth of the memory limit (Feature.CALLER_MEMORY; where capacity is scarce or the limit is below 600 MB). From three quarters of the bound on, connections are aborted in the order of the time that they need for what is held for them, at their own rate; those that read well are spared, and new bodies are refused as BZ1502 instead. The rate counts what the kernel reports as acknowledged, as its send buffer hides progress for megabytes.

--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -11,7 +11,7 @@
 
 import uvloop
 
-from ..model import Limits
+from ..model import Feature, Limits
 from ..platform import SETTINGS_PATH_VARIABLE, decode_settings
 from .admission_queue import AdmissionQueue
 from .answer_memory import AnswerMemory
@@ -19,6 +19,7 @@
 from .budget import RESTORE_DEPTH_S, BudgetBook
 from .budget_keeper import BudgetKeeper
 from .caller import CallerConnection, CallerRequest
+from .caller_memory import SMALL_MEMORY_BYTES, CallerMemory
 from .client import ClientPool
 from .clocks import read_clock
 from .crashing_parts import CrashingParts
@@ -62,7 +63,7 @@
 
 if TYPE_CHECKING:
     from ..errors import Refusal
-    from ..model import Configuration, Feature
+    from ..model import Configuration
     from .budget_rows import HolderRow
     from .server_limits import LimitReport
 
@@ -177,7 +178,8 @@
             self.neighbourhood.list_nearest,
             self._random,
         )
-        self.pool = ClientPool(loop)
+        self.caller_memory = self._make_caller_memory()
+        self.pool = ClientPool(loop, self.caller_memory)
         self.lives = ServerLives(loop, self.log, self.pool, self.directory)
         self.line = AdmissionQueue(
             self.directory, self.placement, self.limits, self.brittle, self.lives
@@ -321,6 +323,20 @@
             self.configuration,
         )
 
+    def _make_caller_memory(self) -> CallerMemory:
+        """Return the bound on what is held for slow readers, for hosts that need it."""
+        settings = self.settings
+        is_needed = (
+            settings.is_capacity_scarce or settings.memory_bytes < SMALL_MEMORY_BYTES
+        )
+        return CallerMemory(
+            settings.memory_bytes,
+            self._loop.time,
+            self.log,
+            is_enabled=is_needed
+            and Feature.CALLER_MEMORY not in self._disabled_features,
+        )
+
     async def run(self) -> None:
         """Start, serve until `request_stop` is called, then drain and stop."""
         await self._start()
@@ -362,7 +378,7 @@
         await self.peers.start(*self.internal_address)
         self._servers.append(
             await loop.create_server(
-                lambda: CallerConnection(self, loop),
+                lambda: CallerConnection(self, loop, self.caller_memory),
                 settings.caller_address[0],
                 settings.caller_address[1],
                 backlog=LISTEN_BACKLOG,
@@ -644,6 +660,7 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self.pool.sweep()
+            self.caller_memory.check()
             for server_id in self.directory.expire():
                 self.log.write("directory: expired server removed", server=server_id)
                 self._note_versions()
--- a/bronzesail/router/caller.py
+++ b/bronzesail/router/caller.py
@@ -16,11 +16,13 @@
 import httptools
 
 from ..errors import Refusal, ResultCode
+from .caller_memory import Usage, count_unacknowledged
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..model import Limits
+    from .caller_memory import CallerMemory
 
 __all__ = ["CallerConnection", "CallerHandler", "CallerRequest"]
 
@@ -30,6 +32,9 @@
 # With more unsent data than this, reading from the backend server is paused, so that a
 # slow caller does not fill the router's memory.
 WRITE_HIGH_WATER_BYTES = 262_144
+# Retry-After of a request whose body finds no memory; slow connections are aborted and
+# good ones take what they are given within a few times this.
+NO_MEMORY_RETRY_AFTER_S = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -109,11 +114,21 @@
         Serves the requests.
     loop : asyncio.AbstractEventLoop
         The event loop to run on.
+    memory : CallerMemory
+        Bounds the bytes that are held for all connections.
     """
 
-    def __init__(self, handler: CallerHandler, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self,
+        handler: CallerHandler,
+        loop: asyncio.AbstractEventLoop,
+        memory: CallerMemory,
+    ) -> None:
         self._handler = handler
         self._loop = loop
+        self._memory = memory
+        self._written_bytes = 0
+        self._received_bytes = 0
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._timer: asyncio.TimerHandle | None = None
@@ -154,6 +169,7 @@
         """Cancel the request in progress and drop those that wait."""
         self._is_lost = True
         self._stop_timer()
+        self._memory.forget(self)
         self._requests.clear()
         active, self._active = self._active, None
         if active is not None:
@@ -182,6 +198,9 @@
         if self._is_lost or self._has_refused:
             return
         self._unparsed_bytes += len(data)
+        if self._transport is not None and not self._transport.get_write_buffer_size():
+            # Otherwise a caller that does not read could seem to make progress.
+            self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
             self._check_unparsed()
@@ -204,6 +223,26 @@
         if self._transport is not None and not self._is_lost:
             self._transport.abort()
 
+    # The methods of `Holder`.
+
+    def measure_usage(self) -> Usage:
+        """Return the unsent bytes, with those of bodies read, and the bytes moved."""
+        if self._transport is None or self._is_lost:
+            return Usage(0, self._written_bytes + self._received_bytes)
+        unsent = self._transport.get_write_buffer_size()
+        bodies = self._body_bytes if self._is_reading else 0
+        bodies += sum(len(request.body) for request in self._requests)
+        taken = self._written_bytes - unsent - count_unacknowledged(self._transport)
+        return Usage(unsent + bodies, taken + self._received_bytes)
+
+    def abort_slow(self) -> None:
+        """Abort the connection of a caller that reads or sends slowly."""
+        self.abort()
+
+    def describe(self) -> str:
+        """Return the kind of the other end."""
+        return "caller"
+
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
@@ -262,6 +301,13 @@
         if self._body_bytes > self._handler.get_limits().body_bytes:
             self._refuse(ResultCode.BODY_TOO_LARGE, "")
             return
+        if not self._memory.accepts_body(self, len(data)):
+            self._refuse(
+                ResultCode.OVERLOADED,
+                "no memory for request bodies",
+                NO_MEMORY_RETRY_AFTER_S,
+            )
+            return
         self._body.append(data)
 
     def on_message_complete(self) -> None:
@@ -369,15 +415,24 @@
         """Write to the connection, unless it was lost."""
         if self._transport is not None and not self._is_lost:
             self._transport.write(data)
+            self._written_bytes += len(data)
+            if self._transport.get_write_buffer_size():
+                self._memory.note_growth(self, len(data))
 
     def _refuse_slow_sender(self) -> None:
         """Refuse a request that did not arrive in time."""
         self._refuse(ResultCode.SENDER_TOO_SLOW, "")
 
-    def _refuse(self, code: ResultCode, detail: str) -> None:
+    def _refuse(
+        self, code: ResultCode, detail: str, retry_after_s: float = 0.0
+    ) -> None:
         """Refuse the request being read and close the connection."""
-        refusal = Refusal(code, is_not_run=True, detail=detail)
+        refusal = Refusal(
+            code, is_not_run=True, detail=detail, retry_after_s=retry_after_s
+        )
         self._has_refused = True
+        self._body = []
+        self._body_bytes = 0
         self._closes_after_response = True
         self._stop_timer()
         self._handler.note_refused(None, refusal)
@@ -386,7 +441,8 @@
             # no response to the refused request.
             return
         body = refusal.label.encode("ascii")
-        head = self._make_head(refusal.http_status, b"")
+        lines = b"Retry-After: %.3f\r\n" % retry_after_s if retry_after_s else b""
+        head = self._make_head(refusal.http_status, lines)
         self._write(b"%bContent-Length: %d\r\n\r\n%b" % (head, len(body), body))
         self.close()
 
--- a/bronzesail/router/client.py
+++ b/bronzesail/router/client.py
@@ -11,12 +11,14 @@
 import httptools
 
 from ..platform import AnswerHeadReader
+from .caller_memory import Usage, count_unacknowledged
 from .connection_spans import ConnectionSpans
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..model import AnswerHead
+    from .caller_memory import CallerMemory
     from .connection_spans import Span
 
 __all__ = [
@@ -70,10 +72,13 @@
         address: tuple[str, int],
         on_lost: Callable[[Connection], None] = lambda _: None,
         on_data: Callable[[Connection], None] = lambda _: None,
+        memory: CallerMemory | None = None,
     ) -> None:
         self.address = address
         self._on_lost = on_lost
         self._on_data = on_data
+        self._memory = memory
+        self._written_bytes = 0
         self.opened_at = 0.0
         self.span: Span | None = None  # Of the process that it leads to.
         self.was_paused = False
@@ -109,6 +114,27 @@
         self._is_close_delimited = False
         self._framing_bytes = 0
         self.transport.write(request)
+        self._written_bytes += len(request)
+        if self._memory is not None and self.transport.get_write_buffer_size():
+            self._memory.note_growth(self, len(request))
+
+    # The methods of `Holder`.
+
+    def measure_usage(self) -> Usage:
+        """Return the unsent bytes of requests, and those that the server has taken."""
+        if self.transport is None:
+            return Usage(0, self._written_bytes)
+        unsent = self.transport.get_write_buffer_size()
+        taken = self._written_bytes - unsent - count_unacknowledged(self.transport)
+        return Usage(unsent, taken)
+
+    def abort_slow(self) -> None:
+        """End the exchange with a server that reads its request slowly."""
+        self._break("request read too slowly")
+
+    def describe(self) -> str:
+        """Return the kind of the other end, and its address."""
+        return f"server {self.address[0]}:{self.address[1]}"
 
     def close(self) -> None:
         """Abort the connection, which also cancels the request at the server."""
@@ -159,6 +185,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Report an unfinished response to its sink as broken."""
         self.is_usable = False
+        if self._memory is not None:
+            self._memory.forget(self)
         self._on_lost(self)
         self._break("connection reset" if exc else "connection closed")
 
@@ -226,8 +254,11 @@
 class ClientPool:
     """Pool of idle keep-alive connections, by address."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, memory: CallerMemory | None = None
+    ) -> None:
         self._loop = loop
+        self._memory = memory
         self._idle: dict[tuple[str, int], deque[Connection]] = {}
         self._open: dict[tuple[str, int], set[Connection]] = {}
         self._heard_at: dict[tuple[str, int], float] = {}
@@ -261,7 +292,9 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, protocol = await self._loop.create_connection(
-                    lambda: Connection(address, self._forget, self._note_data),
+                    lambda: Connection(
+                        address, self._forget, self._note_data, self._memory
+                    ),
                     address[0],
                     address[1],
                 )
--- a/bronzesail/router/gauges.py
+++ b/bronzesail/router/gauges.py
@@ -45,6 +45,10 @@
     set_state("connections_opened", application.pool.n_opened)
     set_state("exchanges", application.count_exchanges())
     set_state("most_answer_bytes", application.services.answer_memory.peak_bytes)
+    memory = application.caller_memory
+    set_state("most_held_bytes", memory.peak_bytes)
+    set_state("slow_connections_aborted", memory.n_aborted)
+    set_state("bodies_refused_for_memory", memory.n_refused)
     set_state("rows_written_again", application.keeper.rows_written_again)
     set_state("tokens_reclaimed", application.keeper.reclaimed_tokens)
     set_state("log_lines_dropped", application.log.dropped)
