router: a part of a response is never taken for the whole, nor a status 600

Cause: a response without a length counted as complete at the end of its connection even while its request was still being written, although a reset may follow a half-close. Every status from 200 upwards was passed on.

Change: after such an end the connection is kept for sending; the response is complete once the server's kernel has acknowledged the whole request, and broken if a reset comes first. The kernel's state is read for that, as it does not report a reset while nothing is written or read. A status outside 100 to 599 is a malformed response.

--- a/bronzesail/router/caller.py
+++ b/bronzesail/router/caller.py
@@ -16,7 +16,8 @@
 import httptools
 
 from ..errors import Refusal, ResultCode
-from .caller_memory import Usage, count_unacknowledged
+from .caller_memory import Usage
+from .tcp_state import count_unacknowledged
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/bronzesail/router/caller_memory.py
+++ b/bronzesail/router/caller_memory.py
@@ -6,16 +6,12 @@
 
 from __future__ import annotations
 
-import fcntl
 import math
-import struct
-import termios
 from typing import TYPE_CHECKING, Protocol
 
 import attrs
 
 if TYPE_CHECKING:
-    import asyncio
     from collections.abc import Callable
 
     from .log import Log
@@ -25,7 +21,6 @@
     "CallerMemory",
     "Holder",
     "Usage",
-    "count_unacknowledged",
 ]
 
 # Hosts below this limit always need the bound; their sockets alone could exhaust it.
@@ -247,19 +242,3 @@
             limit_bytes=self.limit_bytes,
         )
         holder.abort_slow()
-
-
-def count_unacknowledged(transport: asyncio.Transport) -> int:
-    """Return the bytes in the kernel's send buffer that were not acknowledged.
-
-    This is 0 for a connection that has ended. Without it, the progress of a slow reader
-    would only show each time that the kernel asks for more, megabytes apart.
-    """
-    sock = transport.get_extra_info("socket")
-    if sock is None or transport.is_closing():
-        return 0
-    try:
-        answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
-    except (OSError, ValueError):
-        return 0
-    return int(struct.unpack("i", answer)[0])
--- a/bronzesail/router/client.py
+++ b/bronzesail/router/client.py
@@ -11,8 +11,9 @@
 import httptools
 
 from ..platform import AnswerHeadReader
-from .caller_memory import Usage, count_unacknowledged
+from .caller_memory import Usage
 from .connection_spans import ConnectionSpans
+from .tcp_state import count_unacknowledged, is_reset
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -40,6 +41,9 @@
 MAX_CALL_BYTES = 8_388_608  # Six of the store's largest pages; its feed is not paged.
 MAX_FRAMING_BYTES = 65_536  # Eight times the usual limit of servers for a head.
 FORGET_AFTER_S = 60.0  # After which the last contact with an address is forgotten.
+MIN_STATUS, MAX_STATUS = 100, 599  # The range that RFC 9110 allows.
+# Interval at which a request is checked that is still being sent after its response.
+SENT_CHECK_S = 0.02
 # TCP_USER_TIMEOUT: a connection ends if sent data is not acknowledged for this long.
 UNACKNOWLEDGED_TIMEOUT_MS = 3000
 
@@ -175,12 +179,48 @@
             self._break("malformed response: head, chunk sizes or trailers too large")
 
     def eof_received(self) -> bool:
-        """Complete a response whose body is delimited by the connection's end."""
-        if self._sink is not None and self._has_head and self._is_close_delimited:
-            sink, self._sink = self._sink, None
-            self.is_usable = False
+        """Complete a response whose body is delimited by the connection's end.
+
+        While the request is still being sent, the end may precede a reset. The
+        connection is then kept for sending, and returns True.
+        """
+        if self._sink is None or not self._has_head or not self._is_close_delimited:
+            return False
+        self.is_usable = False
+        if self._is_request_sent():
+            self._complete()
+            return False
+        asyncio.get_running_loop().call_later(SENT_CHECK_S, self._check_request_sent)
+        return True
+
+    def _is_request_sent(self) -> bool:
+        """Whether the server's kernel has received the whole request.
+
+        A reset drops what was not received, so it is looked for after the count.
+        """
+        assert self.transport is not None
+        unsent = self.transport.get_write_buffer_size()
+        unsent += count_unacknowledged(self.transport)
+        return not unsent and not is_reset(self.transport)
+
+    def _check_request_sent(self) -> None:
+        """Complete a response that has ended once its request was sent to its end."""
+        if self._sink is None or self.transport is None:
+            return
+        if self._is_request_sent():
+            self._complete()
+            self.transport.abort()
+        elif is_reset(self.transport):
+            self._break("connection reset")
+        else:
+            loop = asyncio.get_running_loop()
+            loop.call_later(SENT_CHECK_S, self._check_request_sent)
+
+    def _complete(self) -> None:
+        """Report the response to its sink as complete."""
+        sink, self._sink = self._sink, None
+        if sink is not None:
             sink.response_completed()
-        return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report an unfinished response to its sink as broken."""
@@ -216,6 +256,9 @@
         if self._is_broken or self._sink is None or self._parser is None:
             return
         status = self._parser.get_status_code()
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            self._break(f"malformed response: status {status}")
+            return
         if status < 200:
             self._reader = AnswerHeadReader()
             return
--- a/tests/test_router/test_caller_memory.py
+++ b/tests/test_router/test_caller_memory.py
@@ -15,6 +15,7 @@
 from bronzesail.router import caller_memory
 from bronzesail.router.caller_memory import CallerMemory, Usage
 from bronzesail.router.client import ClientPool
+from bronzesail.router.tcp_state import count_unacknowledged
 from tests.endless_server import EndlessServer
 from tests.platform_standin import (
     HOST_NAME,
@@ -226,7 +227,7 @@
         connection.start(b"x" * 16_000_000, Sink())
         assert not ended
         await asyncio.sleep(0.1)
-        assert caller_memory.count_unacknowledged(connection.transport) > 0
+        assert count_unacknowledged(connection.transport) > 0
         while not ended:
             memory.check()
             await asyncio.sleep(0.05)
