router: a dry run says where a request would go now, and why

Cause: operators could not see why a live router prefers a server, or leaves one out, without sending a request.

Change: `bronzesail dry-run HOST/PATH` asks a router at its internal address. The admission queue names its reason for each server in one method (_find_reason), which choosing a server uses too; the placement lists the costs that it chooses by. Reading a load creates none any more, and the room at brittle servers can be read without growing or opening a window.

--- a/bronzesail/cmd/__init__.py
+++ b/bronzesail/cmd/__init__.py
@@ -9,6 +9,7 @@
     apply,
     budget,
     demo,
+    dry_run,
     explain,
     order,
     questionnaire,
@@ -32,6 +33,7 @@
 app.command("apply")(apply.apply_configuration)
 app.command("status")(status_command.show_status)
 app.command("explain")(explain.show_explanation)
+app.command("dry-run")(dry_run.show_dry_run)
 app.command("demo")(demo.run_demo)
 app.command("version")(version_command.show_version)
 app.add_typer(account.app, name="account")
--- a/bronzesail/router/admission_queue.py
+++ b/bronzesail/router/admission_queue.py
@@ -16,13 +16,15 @@
 from .withdrawals import RAMP_S
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from .brittle_servers import BrittleServers
     from .directory import Directory
     from .placement import Placement
     from .server_limits import ServerLimits
     from .server_lives import ServerLives
 
-__all__ = ["AdmissionQueue"]
+__all__ = ["AdmissionQueue", "Verdict"]
 
 # Requests that an engine may have, as a multiple of its slots; further ones are queued.
 ENGINE_REQUESTS_PER_SLOT = 1.1
@@ -32,6 +34,29 @@
 RECHECK_S = 0.05  # The end of other routers' requests triggers no event here.
 
 
+@attrs.frozen
+class Verdict:
+    """What the queue and the placement make of one server for one request.
+
+    Attributes
+    ----------
+    server : BackendServer
+        The server.
+    cost_s : float
+        Estimated cost of sending the request there, without affinity for its prompt
+        unless the server is considered.
+    reason : str or None
+        Why the server is not considered, None if it is.
+    is_chosen : bool
+        Whether the request would be sent to it.
+    """
+
+    server: BackendServer
+    cost_s: float
+    reason: str | None
+    is_chosen: bool
+
+
 @attrs.define(order=False)
 class _QueuedRequest:
     """A queued request, and the future that receives its server."""
@@ -114,7 +139,7 @@
         queued = _QueuedRequest(
             work, engine, version, excluded, loop.create_future(), deadline
         )
-        if not self._has_waiting(service, version):
+        if not self.has_waiting(service, version):
             server = self._choose_server(service, queued)
             if server is not None:
                 return server
@@ -136,7 +161,7 @@
             timer.cancel()
             queued.future.cancel()
 
-    def _has_waiting(self, service: str, version: str | None) -> bool:
+    def has_waiting(self, service: str, version: str | None) -> bool:
         """Whether queued requests go before a new one, which may name a version."""
         return any(
             not queued.future.done() and queued.version in (None, version)
@@ -275,13 +300,16 @@
         loop = asyncio.get_running_loop()
         self._permit_timers[service] = loop.call_later(wait_s, self.dispatch, service)
 
-    def _has_room(self, server: BackendServer) -> bool:
+    def _has_room(self, server: BackendServer, *, is_dry_run: bool) -> bool:
         """Whether a server that may be brittle has room for one more request."""
         if not self._brittle.is_brittle(server.service):
             return True
         servers = self._directory.list_usable(server.service)
         count_own = self._placement.count_own
-        room = self._brittle.find_room(server, servers, count_own)
+        if is_dry_run:
+            room = self._brittle.peek_room(server, count_own)
+        else:
+            room = self._brittle.find_room(server, servers, count_own)
         if room is None:
             return True
         return count_own(server.id) < room and not self._placement.is_queueing(
@@ -302,31 +330,12 @@
 
         If the server has a limit, the request uses up a permit.
         """
-        servers = self._directory.list_usable(service, queued.version)
         now = asyncio.get_running_loop().time()
-        requests_per_slot = (
-            PLAIN_REQUESTS_PER_SLOT
-            if queued.engine is None
-            else ENGINE_REQUESTS_PER_SLOT
-        )
-        available = []
-        for server in servers:
-            if self._limits.find_wait_s(server) > 0:
-                continue
-            if queued.version is not None and self._lives.is_doubted(server):
-                continue
-            if not self._has_room(server):
-                continue
-            share = self._directory.withdrawals.compute_share(server)
-            capacity = server.slots * requests_per_slot * share
-            estimated = self._placement.estimate_requests(server.id, now)
-            if 0 < share < 1:
-                # Reports from before the pause say nothing of the load after it.
-                load = self._placement.get_load(server.id)
-                estimated = load.in_flight + load.assigned
-                capacity = max(1.0, capacity)
-            if estimated < capacity:
-                available.append(server)
+        available = [
+            server
+            for server in self._directory.list_usable(service, queued.version)
+            if self._find_reason(server, queued, now) is None
+        ]
         chosen = self._placement.choose(
             available, queued.work, queued.engine, queued.excluded
         )
@@ -334,3 +343,93 @@
             self._limits.take_permit(chosen)
             self._placement.note_assigned(chosen.id)
         return chosen
+
+    def _find_reason(
+        self,
+        server: BackendServer,
+        queued: _QueuedRequest,
+        now: float,
+        *,
+        is_dry_run: bool = False,
+    ) -> str | None:
+        """Return why a usable server does not get a request now, None if it may.
+
+        With `is_dry_run`, nothing that later requests depend on may change.
+        """
+        if self._limits.find_wait_s(server) > 0:
+            return "its announced limit leaves no permit to this router now"
+        if queued.version is not None and self._lives.is_doubted(server):
+            return "the version that it runs is in doubt"
+        if not self._has_room(server, is_dry_run=is_dry_run):
+            return "it is brittle and has no room for this router"
+        share = self._directory.withdrawals.compute_share(server)
+        if not share:
+            return "it has asked for a pause"
+        requests_per_slot = (
+            PLAIN_REQUESTS_PER_SLOT
+            if queued.engine is None
+            else ENGINE_REQUESTS_PER_SLOT
+        )
+        capacity = server.slots * requests_per_slot * share
+        estimated = self._placement.estimate_requests(server.id, now)
+        if share < 1:
+            # Reports from before the pause say nothing of the load after it.
+            estimated = self._placement.count_own(server.id)
+            capacity = max(1.0, capacity)
+        return None if estimated < capacity else "it is full"
+
+    def list_verdicts(
+        self,
+        service: str,
+        work: Work,
+        engine: Engine | None,
+        excluded: Sequence[str] = (),
+        version: str | None = None,
+    ) -> list[Verdict]:
+        """Return what would be made of each server of a service for a request now.
+
+        No permit is taken and no server is assigned. The parameters are those of
+        `find_server`.
+        """
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        queued = _QueuedRequest(
+            work, engine, version, excluded, loop.create_future(), now
+        )
+        servers = [s for s in self._directory.list_all() if s.service == service]
+        reasons = {
+            server.id: self._directory.find_unusable_reason(server, version)
+            or self._find_reason(server, queued, now, is_dry_run=True)
+            for server in servers
+        }
+        available = [server for server in servers if reasons[server.id] is None]
+        ranked = self._placement.list_costs(available, work, engine, excluded)
+        chosen = self._placement.choose(available, work, engine, excluded)
+        self._add_placement_reasons(reasons, ranked, excluded)
+        costs = {server.id: cost for cost, server in ranked}
+        for server in servers:
+            if server.id not in costs:
+                costs[server.id] = self._placement.estimate_cost(
+                    server, work, engine, None, now
+                )
+        return [
+            Verdict(server, costs[server.id], reasons[server.id], server is chosen)
+            for server in servers
+        ]
+
+    @staticmethod
+    def _add_placement_reasons(
+        reasons: dict[str, str | None],
+        ranked: Iterable[tuple[float, BackendServer]],
+        excluded: Sequence[str],
+    ) -> None:
+        """Add why the placement does not choose from servers that have room."""
+        ranked_ids = {server.id for _, server in ranked}
+        for server_id, reason in reasons.items():
+            if reason is not None or server_id in ranked_ids:
+                continue
+            reasons[server_id] = (
+                "the request was sent there before"
+                if server_id in excluded
+                else "it is ejected, unreachable or does not respond"
+            )
--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -24,12 +24,13 @@
 from .clocks import read_clock
 from .crashing_parts import CrashingParts
 from .directory import Directory
+from .dry_run import answer_question
 from .exchange import Exchange
 from .features import DISABLED_FEATURES_VARIABLE, read_disabled_features
 from .forwarding import Forwarder
 from .gauges import set_gauges
 from .hello import make_hello
-from .internal_http import METRICS_PATH, start_internal_server
+from .internal_http import DRY_RUN_PATH, METRICS_PATH, start_internal_server
 from .log import Log
 from .messages import (
     ServerFull,
@@ -497,12 +498,15 @@
         """Whether a router of a region nearer to the store forwards configurations."""
         return self.neighbourhood.has_nearer_follower(self.store.latency_s)
 
-    def _answer_readiness_probe(self, path: str) -> tuple[int, bytes]:
+    def _answer_readiness_probe(self, target: str) -> tuple[int, bytes]:
         """Return status and body for the platform's readiness probe."""
         return (200, b"ready") if self.is_ready() else (503, b"not ready")
 
-    def _answer_internal_request(self, path: str) -> tuple[int, bytes]:
-        """Return status and body for a metrics scrape or a request of a router."""
+    def _answer_internal_request(self, target: str) -> tuple[int, bytes]:
+        """Return status and body for a metrics scrape, a dry run or another router."""
+        path, _, query = target.partition("?")
+        if path == DRY_RUN_PATH:
+            return answer_question(self.services, query)
         if path == METRICS_PATH:
             set_gauges(self, self.services.metrics.set_state)
             return 200, self.services.metrics.render()
--- a/bronzesail/router/brittle_servers.py
+++ b/bronzesail/router/brittle_servers.py
@@ -182,6 +182,19 @@
         window.size = min(window.size, share)
         return window.size
 
+    def peek_room(
+        self, server: BackendServer, load_by_id: Callable[[str], int]
+    ) -> int | None:
+        """Return what `find_room` would, without opening or growing a window."""
+        if not self.is_brittle(server.service):
+            return None
+        window = self._windows.get(server.id)
+        if window is None or window.born_ms != server.born_ms:
+            return max(1, load_by_id(server.id))
+        size = window.size + (self._now() >= window.grows_at)
+        _, shares, _ = self._shares.get(server.service, (0.0, {}, 1))
+        return min(size, shares.get(server.id, size))
+
     def count_sharers(self, service: str) -> int:
         """Return how many routers shared the slots of a service lately."""
         cached = self._shares.get(service)
--- a/bronzesail/router/directory.py
+++ b/bronzesail/router/directory.py
@@ -288,6 +288,20 @@
             and not self.withdrawals.is_leaving(server)
         )
 
+    def find_unusable_reason(
+        self, server: BackendServer, version: str | None = None
+    ) -> str | None:
+        """Return why `list_usable` leaves a server out, None if it does not."""
+        if server.is_draining:
+            return "it leaves, according to its entry"
+        if server.id in self._replaced:
+            return "another server has answered at its address"
+        if self.withdrawals.is_leaving(server):
+            return "it leaves by its own word"
+        if version not in (None, server.version):
+            return "it runs another version"
+        return None
+
     def list_usable(
         self, service: str, version: str | None = None
     ) -> list[BackendServer]:
--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -42,7 +42,7 @@
     from .forwarding import Target
     from .services import Services
 
-__all__ = ["Exchange"]
+__all__ = ["MAX_WAIT_SHARE", "Exchange"]
 
 # Added to the deadline, so that a server's own response at the deadline is relayed
 # rather than replaced by the router's refusal.
--- a/bronzesail/router/internal_http.py
+++ b/bronzesail/router/internal_http.py
@@ -15,6 +15,7 @@
     "CONFIGURATION_PATH",
     "CRASHES_PATH",
     "DIRECTORY_PATH",
+    "DRY_RUN_PATH",
     "HOSTS_PATH",
     "MAX_REQUEST_BYTES",
     "METRICS_PATH",
@@ -29,6 +30,7 @@
 CRASHES_PATH = "/crashes"
 HOSTS_PATH = "/hosts/"  # Followed by the name of a data centre.
 METRICS_PATH = "/metrics"
+DRY_RUN_PATH = "/dry-run"  # Followed by a query, the only one that is not ignored.
 MAX_REQUEST_BYTES = 8192  # Routers and the platform send a few hundred bytes.
 # Clients that keep a connection send a request every second.
 IDLE_TIMEOUT_S = 30.0
@@ -39,12 +41,12 @@
 class InternalConnection(asyncio.Protocol):
     """One server connection; responds to requests with the result of `answer`.
 
-    The method, the query and the body are ignored.
+    The method and the body are ignored.
 
     Parameters
     ----------
     answer : callable
-        Returns status and body for a path.
+        Returns status and body for a request target.
     loop : asyncio.AbstractEventLoop
         The loop to run on.
     """
@@ -93,7 +95,7 @@
         """Send the response and restart the idle timeout."""
         assert self._transport is not None
         self._request_bytes = 0
-        status, body = self._answer(self._path.decode("latin-1").partition("?")[0])
+        status, body = self._answer(self._path.decode("latin-1"))
         is_keep_alive = self._parser.should_keep_alive()
         close_header = b"" if is_keep_alive else b"Connection: close\r\n"
         self._transport.write(
@@ -120,7 +122,7 @@
 ) -> asyncio.Server:
     """Start a server that responds with the status and body that `answer` returns.
 
-    `answer` is called with the path of each request.
+    `answer` is called with the target of each request: its path and query.
     """
     return await loop.create_server(
         lambda: InternalConnection(answer, loop),
--- a/bronzesail/router/placement.py
+++ b/bronzesail/router/placement.py
@@ -156,6 +156,10 @@
             load = self.loads[server_id] = Load()
         return load
 
+    def peek_load(self, server_id: str) -> Load:
+        """Return the load of a server to read it; nothing is created for a new one."""
+        return self.loads.get(server_id) or Load()
+
     def retain_only(self, known: Iterable[str]) -> None:
         """Drop the loads of idle servers whose ids are not in `known`."""
         kept_ids = set(known)
@@ -185,20 +189,28 @@
         excluded : iterable of str
             Ids of servers that must not be chosen.
         """
+        ranked = self.list_costs(servers, work, engine, excluded)
+        if not ranked:
+            return None
+        return min(ranked, key=lambda entry: entry[0])[1]
+
+    def list_costs(
+        self,
+        servers: Sequence[BackendServer],
+        work: Work,
+        engine: Engine | None,
+        excluded: Iterable[str] = (),
+    ) -> list[tuple[float, BackendServer]]:
+        """Return the servers that `choose` chooses from, each with its cost."""
         excluded_ids = set(excluded)
         candidates = [server for server in servers if server.id not in excluded_ids]
-        if not candidates:
-            return None
         now = self._now()
         healthy = [s for s in candidates if not self.is_ejected(s.id, now)]
         affinity_id = self._find_affinity_id(healthy or candidates, work)
-        best: BackendServer | None = None
-        best_cost = 0.0
-        for server in healthy or candidates:
-            cost = self.estimate_cost(server, work, engine, affinity_id, now)
-            if best is None or cost < best_cost:
-                best, best_cost = server, cost
-        return best
+        return [
+            (self.estimate_cost(server, work, engine, affinity_id, now), server)
+            for server in healthy or candidates
+        ]
 
     def is_ejected(self, server_id: str, now: float) -> bool:
         """Whether a server is avoided: after failures, unreachable or unresponsive."""
@@ -223,7 +235,7 @@
 
         `affinity_id` names the server with affinity for the prompt, if there is one.
         """
-        load = self.get_load(server.id)
+        load = self.peek_load(server.id)
         n_requests = self.estimate_requests(server.id, now)
         cost = self._estimate_distance(server)
         if server.cold_left_s > 0:
@@ -250,7 +262,7 @@
         plus the reported requests of other routers, which lose weight as the report
         ages, up to `REPORT_TTL_S`.
         """
-        load = self.get_load(server_id)
+        load = self.peek_load(server_id)
         age_s = now - load.reported_at
         others = max(0.0, load.reported_requests - load.in_flight_at_report)
         if age_s > REPORT_TTL_S:
@@ -261,12 +273,12 @@
 
     def count_own(self, server_id: str) -> int:
         """Return how many requests of this router are at a server or about to be."""
-        load = self.get_load(server_id)
+        load = self.peek_load(server_id)
         return load.in_flight + load.assigned
 
     def is_queueing(self, server_id: str) -> bool:
         """Whether requests waited at a server according to a recent report."""
-        load = self.get_load(server_id)
+        load = self.peek_load(server_id)
         is_recent = self._now() - load.reported_at < REPORT_FRESH_S
         return is_recent and load.reported_waiting > 0
 
--- a/tests/test_router/test_caller_memory.py
+++ b/tests/test_router/test_caller_memory.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import socket
+from types import SimpleNamespace
 
 import attrs
 import pytest
@@ -48,8 +49,7 @@
         return Usage(self.held, self.moved)
 
     def abort_slow(self):
-        self.is_aborted = True
-        self.held = 0
+        self.is_aborted, self.held = True, 0
 
     def describe(self):
         return self.name
@@ -58,15 +58,10 @@
 class Trial:
     """A bound of 1 MB and connections that grow and drain as time passes."""
 
-    def __init__(self, *, is_enabled=True):
-        self.clock = ManualClock()
-        self.log = RecordingLog()
-        self.memory = CallerMemory(
-            int(LIMIT_BYTES / caller_memory.MEMORY_SHARE),
-            self.clock,
-            self.log,
-            is_enabled=is_enabled,
-        )
+    def __init__(self, **options):
+        self.clock, self.log = ManualClock(), RecordingLog()
+        memory_bytes = int(LIMIT_BYTES / caller_memory.MEMORY_SHARE)
+        self.memory = CallerMemory(memory_bytes, self.clock, self.log, **options)
         self.holders = []
 
     def add(self, name, rate, held=0):
@@ -149,24 +144,13 @@
     assert not trial.list_aborted()
 
 
-async def open_silent_caller(router, number):
-    """Send a request for a stream, and read nothing of it."""
-    reader, writer = await asyncio.open_connection(router.ip, router.port, limit=1024)
-    sock = writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-    writer.transport.pause_reading()
-    writer.write(
-        f"POST /chat/{number} HTTP/1.1\r\nHost: {HOST_NAME}\r\n"
-        f"X-Attempt-Id: silent{number}\r\nX-Deadline-Ms: 20000\r\n"
-        f"Authorization: Bearer {KEY}\r\n\r\n".encode()
-    )
-    return reader, writer
-
-
 # Each caller's own high-water mark is no bound for hundreds of them.
 def test_silent_callers_are_cut_off_and_a_reading_one_is_served(tmp_path, monkeypatch):
     monkeypatch.setattr(caller_memory, "MEMORY_SHARE", 0.01)  # Of 300 MB.
-    n_silent = 14
+    request = (
+        f"POST /chat/1 HTTP/1.1\r\nHost: {HOST_NAME}\r\nX-Attempt-Id: s%d\r\n"
+        f"X-Deadline-Ms: 20000\r\nAuthorization: Bearer {KEY}\r\n\r\n"
+    ).encode()
 
     async def run():
         async with Deployment(tmp_path) as deployment:
@@ -175,20 +159,22 @@
             memory = router.app.caller_memory
             endless = EndlessServer(STREAM_HEAD, b"data: %b\n\n" % (b"x" * 30_000))
             host, port = await endless.start()
-            backend = await deployment.start_backend("e1", "llm", stream_events(1))
+            backend = await deployment.start_backend("p1", "app", stream_events(9))
             entry = backend.make_entry() | {"address": f"{host}:{port}", "slots": 64}
-            deployment.store.put("servers", "e1", entry)
+            deployment.store.put("servers", "e1", entry | {"service": "llm"})
+            await wait_until(lambda: len(router.app.directory) == 2)
             await wait_until(router.app.is_ready)
-            await wait_until(lambda: router.app.directory.get("e1").slots == 64)
-            callers = [await open_silent_caller(router, n) for n in range(n_silent)]
+            callers = [socket.socket() for _ in range(14)]
+            for number, caller in enumerate(callers):
+                caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                caller.connect((router.ip, router.port))
+                caller.send(request % number)
             await wait_until(lambda: memory.n_aborted > 0)
-            backend = await deployment.start_backend("p1", "app", stream_events(9))
-            await wait_until(lambda: router.app.directory.get("p1") is not None)
             status, _, body = await deployment.send(router, "/book/1")
             assert (status, body.count(b"data")) == (200, 9)
             assert 0 < memory.peak_bytes <= memory.limit_bytes
-            for _, writer in callers:
-                writer.transport.abort()
+            for caller in callers:
+                caller.close()
             await wait_until(lambda: memory.held_bytes == 0)
             endless.close()
 
@@ -205,10 +191,6 @@
     ended = []
     is_served = asyncio.Event()
 
-    class Sink:
-        def response_failed(self, reason):
-            ended.append(reason)
-
     async def serve(reader, writer):
         while not ended:
             if reads:
@@ -224,7 +206,8 @@
         listener = socket.create_server(("127.0.0.1", 0))
         server = await asyncio.start_server(serve, sock=listener, limit=1)
         connection = await pool.open(listener.getsockname())
-        connection.start(b"x" * 16_000_000, Sink())
+        sink = SimpleNamespace(response_failed=ended.append)
+        connection.start(b"x" * 16_000_000, sink)
         assert not ended
         await asyncio.sleep(0.1)
         assert count_unacknowledged(connection.transport) > 0
--- a/tests/test_router/test_invalid_responses.py
+++ b/tests/test_router/test_invalid_responses.py
@@ -24,7 +24,6 @@
     WAIT_TIMEOUT_S,
     Deployment,
     RouterAddresses,
-    echo_body,
     make_configuration,
     wait_until,
 )
@@ -88,109 +87,72 @@
         writer.transport.abort()
 
 
-async def call_once(address, request, send_buffer=None):
-    """Return the response to a request, None if it is not complete."""
+async def upload(head, ending, body=UPLOAD, receive_buffer=None, send_buffer=None):
+    """Return the response of a `BreakingServer`, None if it is not complete."""
+    server = BreakingServer(head, ending)
+    listener = socket.create_server(("127.0.0.1", 0))
+    if receive_buffer is not None:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
     loop = asyncio.get_running_loop()
-    pool = ClientPool(loop)
-    connection = await pool.open(address)
+    connection = await ClientPool(loop).open(await server.start(listener))
     if send_buffer is not None:
         sock = connection.transport.get_extra_info("socket")
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer)
     call = Call(loop)
-    connection.start(request, call)
+    head = b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body)
+    connection.start(head + body, call)
     try:
         head, body = await call.wait(WAIT_TIMEOUT_S)
     except OSError:
         return None
     finally:
         connection.close()
+        server.close()
     return head.status, body
 
 
+# A server may answer early and read the rest of the request all the same.
 @pytest.mark.parametrize("run_loop", [asyncio.run, uvloop.run])
-@pytest.mark.parametrize("ending", ["reset", "half-close", "close"])
+@pytest.mark.parametrize("ending", ["reset", "half-close", "close", "half-close, read"])
 @pytest.mark.parametrize("head", HEADS.values(), ids=list(HEADS))
 def test_a_response_broken_off_during_its_upload_is_not_whole(head, ending, run_loop):
-    async def run():
-        server = BreakingServer(head, ending)
-        address = await server.start()
-        request = b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(UPLOAD)
-        response = await call_once(address, request + UPLOAD)
-        server.close()
-        return response
-
-    assert run_loop(run()) is None
-
-
-# A server may answer early and read the rest of the request all the same.
-@pytest.mark.parametrize("run_loop", [asyncio.run, uvloop.run])
-def test_an_early_response_whose_upload_is_read_to_its_end_is_whole(run_loop):
-    async def run():
-        server = BreakingServer(HEADS["1.1"], "half-close, read")
-        address = await server.start()
-        request = b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(UPLOAD)
-        response = await call_once(address, request + UPLOAD)
-        server.close()
-        return response
-
-    assert run_loop(run()) == (200, PART)
+    expected = (200, PART) if ending == "half-close, read" else None
+    assert run_loop(upload(head, ending)) == expected
 
 
 # The rest of the upload is only in the kernel's buffer, where a reset is not reported.
 @pytest.mark.parametrize("run_loop", [asyncio.run, uvloop.run])
 def test_an_upload_in_the_kernels_buffer_counts_as_being_sent(run_loop):
-    async def run():
-        server = BreakingServer(HEADS["1.1"], "half-close")
-        listener = socket.create_server(("127.0.0.1", 0))
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        address = await server.start(listener)
-        body = b"x" * 200_000
-        request = b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body)
-        response = await call_once(address, request + body, send_buffer=400_000)
-        server.close()
-        return response
-
-    assert run_loop(run()) is None
-
-
-# The end and the reset are both there before the router reads the end.
-@pytest.mark.parametrize("run_loop", [asyncio.run, uvloop.run])
-def test_a_reset_right_after_the_end_is_seen(run_loop):
-    async def run():
-        listener = socket.create_server(("127.0.0.1", 0))
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        loop = asyncio.get_running_loop()
-        connection = await ClientPool(loop).open(listener.getsockname())
-        server, _ = listener.accept()
-        call = Call(loop)
-        connection.start(b"POST / HTTP/1.1\r\n\r\n" + b"x" * 60_000, call)
-        server.sendall(HEADS["1.1"] + SEAL % b"r1" + PART)
-        server.shutdown(socket.SHUT_WR)
-        linger = struct.pack("ii", 1, 0)
-        server.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        server.close()
-        listener.close()
-        with pytest.raises(ConnectionError):
-            await call.wait(WAIT_TIMEOUT_S)
+    body = b"x" * 200_000
+    call = upload(HEADS["1.1"], "half-close", body, 4096, 400_000)
+    assert run_loop(call) is None
 
-    run_loop(run())
 
+async def send_to(tmp_path, head, ending, path="/book/1", body=UPLOAD, is_peer=False):
+    """Return status and body that a caller gets if a server answers with `head`.
 
-async def send_to(tmp_path, head, ending, path="/book/1", body=UPLOAD):
-    """Return status and body that a caller gets if a server answers with `head`."""
+    With `is_peer`, another router answers, which the request is forwarded to.
+    """
     async with Deployment(tmp_path) as deployment:
         limits = {"maxBodyBytes": 20_000_000, "headerTimeoutMs": 3000}
         deployment.store.put("op", "config", make_configuration(limits=limits))
         router = await deployment.start_router("h1")
         server = BreakingServer(head, ending)
-        host, port = await server.start()
+        address = await server.start()
         entry = {
             "service": "app" if path == "/book/1" else "llm", "zone": "z1",
-            "address": f"{host}:{port}", "version": "v1", "slots": 8,
+            "address": f"{address[0]}:{address[1]}", "version": "v1", "slots": 8,
             "state": "ready", "coldLeftMs": 0, "sequence": 1,
         }  # fmt: skip
         deployment.store.put("servers", "e1", entry)
         await wait_until(router.app.is_ready)
+
+        async def connect(service, excluded):
+            return Target("h2", address, address), await router.app.pool.open(address)
+
+        if is_peer:
+            router.app.services.forwarder.connect = connect
+            router.app.links.is_cut_off = lambda *_: True
         status, _, received = await deployment.send(router, path, body)
         server.close()
         return status, received
@@ -198,10 +160,10 @@
 
 @pytest.mark.parametrize("ending", ["reset", "half-close"])
 @pytest.mark.parametrize("path", ["/book/1", "/chat/1"])
-def test_a_caller_does_not_get_a_part_of_a_response_as_the_whole(
-    tmp_path, path, ending
-):
-    status, received = asyncio.run(send_to(tmp_path, HEADS["1.1"], ending, path))
+@pytest.mark.parametrize("is_peer", [False, True], ids=["server", "router"])
+def test_a_caller_does_not_get_a_part_as_the_whole(tmp_path, path, ending, is_peer):
+    call = send_to(tmp_path, HEADS["1.1"], ending, path, is_peer=is_peer)
+    status, received = asyncio.run(call)
     assert received is None or (status == 502 and PART not in received)
 
 
@@ -216,66 +178,26 @@
     assert PART not in received
 
 
-@pytest.mark.parametrize("status", ["000", "099", "600", "999"])
-def test_a_status_of_the_store_out_of_range_fails_the_call(tmp_path, status):
-    head = f"HTTP/1.1 {status} X\r\n".encode()
-
-    async def run():
-        server = BreakingServer(head + b"Content-Length: 14\r\n", "close")
-        with pytest.raises(StoreError, match="malformed response"):
-            await make_store(tmp_path, await server.start()).read_table("op")
-        server.close()
-
-    asyncio.run(run())
-
-
-def make_store(tmp_path, address):
-    """Return a client of a store at an address."""
-    path = Deployment(tmp_path).write_settings(
-        "h1", RouterAddresses.choose(), store=f"{address[0]}:{address[1]}"
-    )
-    log = RecordingLog()
-    loop = asyncio.get_running_loop()
-    return StoreClient(loop, decode_settings(path.read_text()), StoreEra(log), log)
-
-
-@pytest.mark.parametrize("ending", ["reset", "half-close"])
-def test_a_transaction_whose_answer_is_broken_off_has_an_unknown_outcome(
-    tmp_path, ending
+@pytest.mark.parametrize(
+    ("head", "ending", "reason"),
+    [(b"HTTP/1.1 %b X\r\n" % s, "close", "malformed") for s in (b"099", b"600")]
+    + [(HEADS["1.1"], ending, "connection") for ending in ("reset", "half-close")],
+)
+def test_a_transaction_with_an_invalid_answer_has_an_unknown_outcome(
+    tmp_path, head, ending, reason
 ):
     async def run():
-        server = BreakingServer(HEADS["1.1"], ending)
-        store = make_store(tmp_path, await server.start())
-        write = RowWrite(RowKey("op", "", "k"), UPLOAD)
-        with pytest.raises(StoreError) as raised:
-            await store.transact([], [write])
+        server = BreakingServer(head, ending)
+        host, port = await server.start()
+        path = Deployment(tmp_path).write_settings(
+            "h1", RouterAddresses.choose(), store=f"{host}:{port}"
+        )
+        log = RecordingLog()
+        settings = decode_settings(path.read_text())
+        store = StoreClient(asyncio.get_running_loop(), settings, StoreEra(log), log)
+        with pytest.raises(StoreError, match=reason) as raised:
+            await store.transact([], [RowWrite(RowKey("op", "", "k"), UPLOAD)])
         server.close()
         assert raised.value.is_unknown
 
     asyncio.run(run())
-
-
-@pytest.mark.parametrize("ending", ["reset", "half-close"])
-def test_a_forwarded_upload_whose_answer_is_broken_off_fails(tmp_path, ending):
-    async def run():
-        async with Deployment(tmp_path) as deployment:
-            limits = {"maxBodyBytes": 20_000_000, "headerTimeoutMs": 3000}
-            deployment.store.put("op", "config", make_configuration(limits=limits))
-            await deployment.start_backend("p1", "app", echo_body)
-            router = await deployment.start_router("h1")
-            await wait_until(router.app.is_ready)
-            server = BreakingServer(HEADS["1.1"], ending)
-            address = await server.start()
-
-            async def connect(service, excluded):
-                target = Target("h2", address, address)
-                return target, await router.app.pool.open(address)
-
-            router.app.services.forwarder.connect = connect
-            router.app.links.is_cut_off = lambda *_: True
-            status, _, received = await deployment.send(router, "/book/1", UPLOAD)
-            server.close()
-            assert status == 502
-            assert PART not in received
-
-    asyncio.run(run())
