--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -20,10 +20,12 @@
 from .budget import RESTORE_DEPTH_S, BudgetBook
 from .budget_keeper import BudgetKeeper
 from .caller import CallerConnection, CallerRequest
+from .caller_memory import SMALL_MEMORY_BYTES, CallerMemory
 from .client import ClientPool
 from .clocks import read_clock
 from .crashing_parts import CrashingParts
 from .directory import Directory
+from .dry_run import answer_question
 from .eligibility import Evacuations, find_unknown_regions
 from .estimates import ServerSpeed, StartTimes
 from .exchange import Exchange
@@ -31,7 +33,7 @@
 from .forwarding import Forwarder
 from .gauges import set_gauges
 from .hello import make_hello
-from .internal_http import METRICS_PATH, start_internal_server
+from .internal_http import DRY_RUN_PATH, METRICS_PATH, start_internal_server
 from .link_protection import LinkProtection
 from .log import Log
 from .messages import (
@@ -230,7 +232,8 @@
             self.neighbourhood.list_nearest,
             self._random,
         )
-        self.pool = ClientPool(loop, usage)
+        self.caller_memory = self._make_caller_memory()
+        self.pool = ClientPool(loop, self.caller_memory, usage)
         self.lives = ServerLives(loop, self.log, self.pool, self.directory)
         self.start_times = (
             None
@@ -396,6 +399,20 @@
             self.evacuations,
         )
 
+    def _make_caller_memory(self) -> CallerMemory:
+        """Return the bound on what is held for slow readers, for hosts that need it."""
+        settings = self.settings
+        is_needed = (
+            settings.is_capacity_scarce or settings.memory_bytes < SMALL_MEMORY_BYTES
+        )
+        return CallerMemory(
+            settings.memory_bytes,
+            self._loop.time,
+            self.log,
+            is_enabled=is_needed
+            and Feature.CALLER_MEMORY not in self._disabled_features,
+        )
+
     async def run(self) -> None:
         """Start, serve until `request_stop` is called, then drain and stop."""
         await self._start()
@@ -437,7 +454,9 @@
         await self.peers.start(*self.internal_address)
         self._servers.append(
             await loop.create_server(
-                lambda: CallerConnection(self, loop, self.entry.usage),
+                lambda: CallerConnection(
+                    self, loop, self.caller_memory, self.entry.usage
+                ),
                 settings.caller_address[0],
                 settings.caller_address[1],
                 backlog=LISTEN_BACKLOG,
@@ -560,12 +579,15 @@
         """Whether a router of a region nearer to the store forwards configurations."""
         return self.neighbourhood.has_nearer_follower(self.store.latency_s)
 
-    def _answer_readiness_probe(self, path: str) -> tuple[int, bytes]:
+    def _answer_readiness_probe(self, target: str) -> tuple[int, bytes]:
         """Return status and body for the platform's readiness probe."""
         return (200, b"ready") if self.is_ready() else (503, b"not ready")
 
-    def _answer_internal_request(self, path: str) -> tuple[int, bytes]:
-        """Return status and body for a metrics scrape or a request of a router."""
+    def _answer_internal_request(self, target: str) -> tuple[int, bytes]:
+        """Return status and body for a metrics scrape, a dry run or another router."""
+        path, _, query = target.partition("?")
+        if path == DRY_RUN_PATH:
+            return answer_question(self.services, query)
         if path == METRICS_PATH:
             set_gauges(self, self.services.metrics.set_state)
             return 200, self.services.metrics.render()
@@ -752,6 +774,7 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self.pool.sweep()
+            self.caller_memory.check()
             for server_id in self.directory.expire():
                 self.log.write("directory: expired server removed", server=server_id)
                 self._note_versions()
--- a/bronzesail/router/client.py
+++ b/bronzesail/router/client.py
@@ -11,13 +11,16 @@
 import httptools
 
 from ..platform import AnswerHeadReader
+from .caller_memory import Usage
 from .connection_spans import ConnectionSpans
+from .tcp_state import count_unacknowledged, is_reset
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..model import AnswerHead
     from .admission import LinkUsage
+    from .caller_memory import CallerMemory
     from .connection_spans import Span
 
 __all__ = [
@@ -41,6 +44,9 @@
 MAX_CALL_BYTES = 8_388_608  # Six of the store's largest pages; its feed is not paged.
 MAX_FRAMING_BYTES = 65_536  # Eight times the usual limit of servers for a head.
 FORGET_AFTER_S = 60.0  # After which the last contact with an address is forgotten.
+MIN_STATUS, MAX_STATUS = 100, 599  # The range that RFC 9110 allows.
+# Interval at which a request is checked that is still being sent after its response.
+SENT_CHECK_S = 0.02
 # TCP_USER_TIMEOUT: a connection ends if sent data is not acknowledged for this long.
 UNACKNOWLEDGED_TIMEOUT_MS = 3000
 REFUSED = "refused"  # Text of the error of a refused connection.
@@ -77,6 +83,7 @@
         address: tuple[str, int],
         on_lost: Callable[[Connection], None] = lambda _: None,
         on_data: Callable[[Connection], None] = lambda _: None,
+        memory: CallerMemory | None = None,
         usage: LinkUsage | None = None,
     ) -> None:
         self.address = address
@@ -84,6 +91,8 @@
         self._sent_at: float | None = None  # Until the first byte of the response.
         self._on_lost = on_lost
         self._on_data = on_data
+        self._memory = memory
+        self._written_bytes = 0
         self.opened_at = 0.0
         self.span: Span | None = None  # Of the process that it leads to.
         self.was_paused = False
@@ -122,6 +131,27 @@
             self._usage.note_sent(len(request))
             self._sent_at = self._usage.now()
         self.transport.write(request)
+        self._written_bytes += len(request)
+        if self._memory is not None and self.transport.get_write_buffer_size():
+            self._memory.note_growth(self, len(request))
+
+    # The methods of `Holder`.
+
+    def measure_usage(self) -> Usage:
+        """Return the unsent bytes of requests, and those that the server has taken."""
+        if self.transport is None:
+            return Usage(0, self._written_bytes)
+        unsent = self.transport.get_write_buffer_size()
+        taken = self._written_bytes - unsent - count_unacknowledged(self.transport)
+        return Usage(unsent, taken)
+
+    def abort_slow(self) -> None:
+        """End the exchange with a server that reads its request slowly."""
+        self._break("request read too slowly")
+
+    def describe(self) -> str:
+        """Return the kind of the other end, and its address."""
+        return f"server {self.address[0]}:{self.address[1]}"
 
     def close(self) -> None:
         """Abort the connection, which also cancels the request at the server."""
@@ -179,16 +209,54 @@
             self._usage.response_times.note(self.address, took_s)
 
     def eof_received(self) -> bool:
-        """Complete a response whose body is delimited by the connection's end."""
-        if self._sink is not None and self._has_head and self._is_close_delimited:
-            sink, self._sink = self._sink, None
-            self.is_usable = False
+        """Complete a response whose body is delimited by the connection's end.
+
+        While the request is still being sent, the end may precede a reset. The
+        connection is then kept for sending, and returns True.
+        """
+        if self._sink is None or not self._has_head or not self._is_close_delimited:
+            return False
+        self.is_usable = False
+        if self._is_request_sent():
+            self._complete()
+            return False
+        asyncio.get_running_loop().call_later(SENT_CHECK_S, self._check_request_sent)
+        return True
+
+    def _is_request_sent(self) -> bool:
+        """Whether the server's kernel has received the whole request.
+
+        A reset drops what was not received, so it is looked for after the count.
+        """
+        assert self.transport is not None
+        unsent = self.transport.get_write_buffer_size()
+        unsent += count_unacknowledged(self.transport)
+        return not unsent and not is_reset(self.transport)
+
+    def _check_request_sent(self) -> None:
+        """Complete a response that has ended once its request was sent to its end."""
+        if self._sink is None or self.transport is None:
+            return
+        if self._is_request_sent():
+            self._complete()
+            self.transport.abort()
+        elif is_reset(self.transport):
+            self._break("connection reset")
+        else:
+            loop = asyncio.get_running_loop()
+            loop.call_later(SENT_CHECK_S, self._check_request_sent)
+
+    def _complete(self) -> None:
+        """Report the response to its sink as complete."""
+        sink, self._sink = self._sink, None
+        if sink is not None:
             sink.response_completed()
-        return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report an unfinished response to its sink as broken."""
         self.is_usable = False
+        if self._memory is not None:
+            self._memory.forget(self)
         self._on_lost(self)
         if isinstance(exc, TimeoutError):
             self._break(UNACKNOWLEDGED)
@@ -221,6 +289,9 @@
         if self._is_broken or self._sink is None or self._parser is None:
             return
         status = self._parser.get_status_code()
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            self._break(f"malformed response: status {status}")
+            return
         if status < 200:
             self._reader = AnswerHeadReader()
             return
@@ -263,14 +334,20 @@
     ----------
     loop : asyncio.AbstractEventLoop
         The event loop to run on.
+    memory : CallerMemory, optional
+        Bounds the bytes that are held for slow servers.
     usage : LinkUsage, optional
         Counts the bytes that are received and written.
     """
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, usage: LinkUsage | None = None
+        self,
+        loop: asyncio.AbstractEventLoop,
+        memory: CallerMemory | None = None,
+        usage: LinkUsage | None = None,
     ) -> None:
         self._loop = loop
+        self._memory = memory
         self._usage = usage
         self._idle: dict[tuple[str, int], deque[Connection]] = {}
         self._open: dict[tuple[str, int], set[Connection]] = {}
@@ -306,7 +383,11 @@
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, protocol = await self._loop.create_connection(
                     lambda: Connection(
-                        address, self._forget, self._note_data, self._usage
+                        address,
+                        self._forget,
+                        self._note_data,
+                        self._memory,
+                        self._usage,
                     ),
                     address[0],
                     address[1],
--- a/bronzesail/router/directory.py
+++ b/bronzesail/router/directory.py
@@ -360,6 +360,27 @@
         """Whether a server is in one of the given regions; None stands for all."""
         return regions is None or self.region_by_zone.get(server.zone) in regions
 
+    def find_unusable_reason(
+        self,
+        server: BackendServer,
+        version: str | None = None,
+        regions: frozenset[str] | None = None,
+    ) -> str | None:
+        """Return why `list_usable` leaves a server out, None if it does not."""
+        if self._is_evacuated(server):
+            return "its data centre is evacuated"
+        if not self.is_in_regions(server, regions):
+            return "it is in no home region of the request"
+        if server.is_draining:
+            return "it leaves, according to its entry"
+        if server.id in self._replaced:
+            return "another server has answered at its address"
+        if self.withdrawals.is_leaving(server):
+            return "it leaves by its own word"
+        if version not in (None, server.version):
+            return "it runs another version"
+        return None
+
     def list_usable(
         self,
         service: str,
--- a/bronzesail/router/placement.py
+++ b/bronzesail/router/placement.py
@@ -199,6 +199,10 @@
             load = self.loads[server_id] = Load()
         return load
 
+    def peek_load(self, server_id: str) -> Load:
+        """Return the load of a server to read it; nothing is created for a new one."""
+        return self.loads.get(server_id) or Load()
+
     def retain_only(self, known: Iterable[str]) -> None:
         """Drop the loads of idle servers whose ids are not in `known`."""
         kept_ids = set(known)
@@ -229,22 +233,40 @@
         excluded : iterable of str
             Ids of servers that must not be chosen.
         """
+        return self._rank(servers, work, engine, excluded)[1]
+
+    def list_costs(
+        self,
+        servers: Sequence[BackendServer],
+        work: Work,
+        engine: Engine | None,
+        excluded: Iterable[str] = (),
+    ) -> list[tuple[float, BackendServer]]:
+        """Return the servers that `choose` chooses from, each with its cost."""
+        return self._rank(servers, work, engine, excluded)[0]
+
+    def _rank(
+        self,
+        servers: Sequence[BackendServer],
+        work: Work,
+        engine: Engine | None,
+        excluded: Iterable[str],
+    ) -> tuple[list[tuple[float, BackendServer]], BackendServer | None]:
+        """Return the servers with their costs, and the one to choose."""
         excluded_ids = set(excluded)
         candidates = [server for server in servers if server.id not in excluded_ids]
         if not candidates:
-            return None
+            return [], None
         now = self._now()
         healthy = [s for s in candidates if not self.is_ejected(s.id, now)]
         if self.speed.is_reported(candidates):
-            return self._choose_by_time(healthy or candidates, work, engine, now)
+            return self._rank_by_time(healthy or candidates, work, engine, now)
         affinity_id = self._find_affinity_id(healthy or candidates, work)
-        best: BackendServer | None = None
-        best_cost = 0.0
-        for server in healthy or candidates:
-            cost = self.estimate_cost(server, work, engine, affinity_id, now)
-            if best is None or cost < best_cost:
-                best, best_cost = server, cost
-        return best
+        ranked = [
+            (self.estimate_cost(server, work, engine, affinity_id, now), server)
+            for server in healthy or candidates
+        ]
+        return ranked, min(ranked, key=lambda entry: entry[0])[1]
 
     def is_ejected(self, server_id: str, now: float) -> bool:
         """Whether a server is avoided: after failures, unreachable or unresponsive."""
@@ -269,7 +291,7 @@
 
         `affinity_id` names the server with affinity for the prompt, if there is one.
         """
-        load = self.get_load(server.id)
+        load = self.peek_load(server.id)
         n_requests = self.estimate_requests(server.id, now)
         cost = self._estimate_distance(server)
         cost += self.find_start_cost_s(server)
@@ -287,14 +309,14 @@
             cost += n_excess * 0.05
         return cost
 
-    def _choose_by_time(
+    def _rank_by_time(
         self,
         servers: Sequence[BackendServer],
         work: Work,
         engine: Engine | None,
         now: float,
-    ) -> BackendServer:
-        """Return a server with nearly the least cost, by the expected times.
+    ) -> tuple[list[tuple[float, BackendServer]], BackendServer]:
+        """Return servers with costs by the expected times, and the one to choose.
 
         The server with affinity for the prompt is found among those that are expected
         to meet the route's objective, and chosen if it has the least cost. Otherwise
@@ -304,22 +326,22 @@
         times = {s.id: self.estimate_time_s(s, work, engine, now) for s in servers}
         punctual = [s for s in servers if times[s.id] <= work.objective_s]
         affinity_id = self._find_affinity_id(punctual, work)
-        costs = {}
+        ranked = []
         for server in servers:
-            load = self.get_load(server.id)
+            load = self.peek_load(server.id)
             cost = times[server.id] + self._estimate_failure_cost(load, now)
             _, cached_elsewhere = self._count_prefill(
                 load, server.id, work, affinity_id, now
             )
-            costs[server.id] = cost + cached_elsewhere * CACHE_MISS_COST_S_PER_TOKEN
-        best = min(servers, key=lambda server: costs[server.id])
+            cost += cached_elsewhere * CACHE_MISS_COST_S_PER_TOKEN
+            ranked.append((cost, server))
+        best_cost, best = min(ranked, key=lambda entry: entry[0])
         if best.id == affinity_id:
-            return best
-        limit = costs[best.id] * (1 + NEAR_COST_SHARE) + NEAR_COST_S
-        near = [server for server in servers if costs[server.id] <= limit]
-        n_drawn = max(1, min(2, len(near) - 1))
-        drawn = self._random.sample(near, n_drawn)
-        return min(drawn, key=lambda server: costs[server.id])
+            return ranked, best
+        limit = best_cost * (1 + NEAR_COST_SHARE) + NEAR_COST_S
+        near = [entry for entry in ranked if entry[0] <= limit]
+        drawn = self._random.sample(near, max(1, min(2, len(near) - 1)))
+        return ranked, min(drawn, key=lambda entry: entry[0])[1]
 
     def estimate_time_s(
         self, server: BackendServer, work: Work, engine: Engine | None, now: float
@@ -377,7 +399,7 @@
         plus the reported requests of other routers, which lose weight as the report
         ages, up to `REPORT_TTL_S`.
         """
-        load = self.get_load(server_id)
+        load = self.peek_load(server_id)
         age_s = now - load.reported_at
         others = max(0.0, load.reported_requests - load.in_flight_at_report)
         if age_s > REPORT_TTL_S:
@@ -388,12 +410,12 @@
 
     def count_own(self, server_id: str) -> int:
         """Return how many requests of this router are at a server or about to be."""
-        load = self.get_load(server_id)
+        load = self.peek_load(server_id)
         return load.in_flight + load.assigned
 
     def is_queueing(self, server_id: str) -> bool:
         """Whether requests waited at a server according to a recent report."""
-        load = self.get_load(server_id)
+        load = self.peek_load(server_id)
         is_recent = self._now() - load.reported_at < REPORT_FRESH_S
         return is_recent and load.reported_waiting > 0
 
--- a/bronzesail/router/store.py
+++ b/bronzesail/router/store.py
@@ -135,7 +135,7 @@
         self._log = log
         self.era = era
         era.subscribe(lambda _: self.clock.reset())
-        self._pool = ClientPool(loop, usage)
+        self._pool = ClientPool(loop, usage=usage)
         self._wire = StoreWire()
         self.settings = settings
         self.clock = StoreClock()
