--- a/bronzesail/router/admission/_entry_control.py
+++ b/bronzesail/router/admission/_entry_control.py
@@ -24,7 +24,8 @@
 __all__ = ["EntryControl", "EntryState", "LinkSample", "ZoneHost"]
 
 # Use of the link over one second above which it counts as saturated: round trips grow
-# from here on.
+# from here on. With a quarter of a second while another host announces a surge, hosts
+# that got only a part of it stepped aside, and a replay served 0.64 instead of 0.95.
 SATURATED_USE = 0.85
 # The same over a quarter of a second, if unsent bytes grow at the same time.
 SATURATED_SHORT_USE = 0.95
@@ -49,11 +50,11 @@
 STEP_PAUSE_S = 4.0  # After a return, before a saturated host steps aside again.
 # Hosts of a data centre return one after the other: callers that return at once with
 # all hosts would meet on one host again.
-RETURN_GAP_S = 0.7
+RETURN_GAP_S = 0.4
 # A host must be ready for more than seven eighths of the time.
 MAX_ASIDE_SHARE = 0.11
-# Allowed in any case, as an eighth of 32 s: a surge needs this long to move elsewhere.
-MIN_ALLOWANCE_S = 4.0
+# Allowed in any case, below an eighth of 40 s: a surge needs this long to move elsewhere.
+MIN_ALLOWANCE_S = 4.8
 ALLOWANCE_WINDOW_S = 600.0
 # A link is wide if it has this many times the surge to spare. What a saturated host
 # announces is capped by its own link, and the surge is larger.
@@ -421,11 +422,18 @@
             return
         elif self._is_helping:
             self._return("surge was kept away for long enough")
-        elif self._sample.demand < LOW_USE:
+        elif self._sample.demand < LOW_USE and not self._is_surge_elsewhere():
             self._return("use of the link is low")
         elif aside_s >= MAX_ASIDE_S:
             self._return("out of rotation for long enough")
 
+    def _is_surge_elsewhere(self) -> bool:
+        """Whether another host has the surge now, which would come back from there."""
+        return any(
+            other.is_heard and (other.surge_bytes_per_s or other.use >= SATURATED_USE)
+            for other in self._zone
+        )
+
     def _return(self, reason: str) -> None:
         now = self._now()
         assert self._aside_since is not None
--- a/bronzesail/router/admission/_link_admission.py
+++ b/bronzesail/router/admission/_link_admission.py
@@ -25,7 +25,8 @@
 MIN_RANK_FACTOR = 0.3
 MIN_SIZE_FACTOR = 0.6  # Of requests that are much larger than the average.
 RANK_MEMORY_S = 5.0  # A rank without a request for this long does not count.
-SIZE_WEIGHT = 0.1  # Of one answer in the moving average of its route.
+SIZE_WEIGHT = 0.1  # Of one answer in the moving averages of its route.
+PRESENT_S = 1.0  # What is sent later than this does not make others wait now.
 DEFAULT_ANSWER_BYTES = 2000  # Of a route without an answer yet.
 # A rank, account or size without an admitted request for this long gets the next one.
 MAX_STARVED_S = 1.0
@@ -59,6 +60,16 @@
     objective_s: float
 
 
+@attrs.frozen
+class _Pending:
+    """An admitted request that has not ended."""
+
+    route: str
+    present_bytes: int
+    admitted_at: float
+    is_usual: bool  # Whether it was admitted without shedding.
+
+
 class LinkAdmission:
     """Tracks the data of the admitted requests and decides on new ones.
 
@@ -81,7 +92,8 @@
         self._bytes_per_s = max(1.0, bytes_per_s * USABLE_SHARE)
         self._now = now
         self._count_queued = count_queued
-        self._pending: dict[Hashable, tuple[str, int]] = {}
+        self._pending: dict[Hashable, _Pending] = {}
+        self._durations: dict[str, float] = {}  # By route, without shedding.
         self._pending_bytes = 0
         self._answer_bytes: dict[str, float] = {}
         self._mean_bytes = float(DEFAULT_ANSWER_BYTES)
@@ -120,8 +132,9 @@
             self._admitted_at.clear()
         self._admitted_at[group] = now
         self._mean_bytes += (size - self._mean_bytes) * SIZE_WEIGHT
-        self._pending[key] = request.route, size
-        self._pending_bytes += size
+        present = self._estimate_present_bytes(request, size)
+        self._pending[key] = _Pending(request.route, present, now, not is_shedding)
+        self._pending_bytes += present
         return True
 
     def note_ended(self, key: Hashable, answer_bytes: int) -> None:
@@ -129,11 +142,14 @@
         pending = self._pending.pop(key, None)
         if pending is None:
             return
-        route, size = pending
-        self._pending_bytes -= size
+        route = pending.route
+        self._pending_bytes -= pending.present_bytes
         mean = self._answer_bytes.get(route, float(answer_bytes))
-        mean += (answer_bytes - mean) * SIZE_WEIGHT
-        self._answer_bytes[route] = mean
+        self._answer_bytes[route] = mean + (answer_bytes - mean) * SIZE_WEIGHT
+        if pending.is_usual:
+            took_s = self._now() - pending.admitted_at
+            usual_s = self._durations.get(route, took_s)
+            self._durations[route] = usual_s + (took_s - usual_s) * SIZE_WEIGHT
 
     def compute_refused_bytes_per_s(self) -> float:
         """Return the bytes a second of the requests refused in the last second."""
@@ -142,6 +158,16 @@
             self._refused.popleft()
         return sum(size for _, size in self._refused) / REFUSED_WINDOW_S
 
+    def _estimate_present_bytes(self, request: LinkRequest, size: int) -> int:
+        """Return the bytes that a request is expected to send within `PRESENT_S`.
+
+        A long stream spreads its answer over its duration, and does not make others
+        wait for all of it.
+        """
+        duration_s = self._durations.get(request.route, 0.0)
+        share = min(1.0, PRESENT_S / duration_s) if duration_s else 1.0
+        return request.request_bytes + int((size - request.request_bytes) * share)
+
     def _fits(
         self, request: LinkRequest, size: int, group: tuple[int, str, int]
     ) -> bool:
@@ -149,7 +175,8 @@
         queued_bytes = self._pending_bytes + self._count_queued()
         if not queued_bytes:
             return True
-        wait_s = (queued_bytes + size) / self._bytes_per_s
+        present = self._estimate_present_bytes(request, size)
+        wait_s = (queued_bytes + present) / self._bytes_per_s
         most_s = request.remaining_s * WAIT_SHARE
         now = self._now()
         if now - self._admitted_at.get(group, now) >= MAX_STARVED_S:
--- a/bronzesail/router/link_protection.py
+++ b/bronzesail/router/link_protection.py
@@ -7,6 +7,7 @@
 
 from .admission import (
     EntryControl,
+    EntryState,
     LinkAdmission,
     LinkRequest,
     LinkSample,
@@ -16,7 +17,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Collection, Hashable
+    from collections.abc import Callable, Collection, Hashable, Sequence
 
     from .caller import CallerConnection
     from .client import ClientPool, Connection
@@ -27,6 +28,7 @@
 __all__ = ["LinkProtection"]
 
 TICK_S = 0.1
+IDLE_TICK_S = 0.25  # A processor that many routers share is spared.
 SHORT_WINDOW_S = 0.25
 LONG_WINDOW_S = 1.0
 SAMPLED_USE = 0.5  # Write buffers are sampled while the link is used more than this.
@@ -38,8 +40,7 @@
 CONGESTION_MEMORY_S = 1.0
 MAX_PERCENT = 1000
 # Retry-After of a refused request where the host keeps its callers, multiplied by the
-# demand. Bodies of requests that return too early fill the link on their own: with an
-# early return a host with 1.2 times its capacity answers nothing in time.
+# demand. Bodies of requests that return too early fill the link on their own.
 RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 3.0
 # Retry-After where the balancer already sends callers to other hosts.
@@ -137,22 +138,34 @@
             Called when the host has begun or ceased to step aside.
         """
         while True:
-            due_at = self._loop.time() + TICK_S
-            await asyncio.sleep(TICK_S)
+            interval_s = self._find_interval_s()
+            due_at = self._loop.time() + interval_s
+            await asyncio.sleep(interval_s)
             self.usage.loop_lag_s = max(0.0, self._loop.time() - due_at)
             if not self.is_active:
                 continue
             self._sample_unsent(pool)
             was_aside = self.control.is_aside
-            if self.control.update(self._make_sample(), self._list_zone(peers)):
-                self._log_state()
+            self.update(self._list_zone(peers))
             if self.control.is_aside is not was_aside:
                 on_change()
-            self._close_some()
             self.usage.response_times.forget_before(
                 self._loop.time() - FORGET_RESPONSES_S
             )
 
+    def update(self, zone: Sequence[ZoneHost]) -> None:
+        """Decide by a new sample of the link and by the hosts of the data centre."""
+        if self.control.update(self._make_sample(), zone):
+            self._log_state()
+        self._close_some()
+
+    def _find_interval_s(self) -> float:
+        """Return the time until the next sample, which is longer on an idle link."""
+        if self.control.state is not EntryState.NORMAL:
+            return TICK_S
+        use = self.usage.compute_use(SHORT_WINDOW_S)
+        return TICK_S if use >= SAMPLED_USE else IDLE_TICK_S
+
     # Requests.
 
     def admit(
@@ -249,8 +262,7 @@
     def _close_some(self) -> None:
         """Close a few connections, busiest first, once callers are sent elsewhere."""
         if not self.control.is_aside:
-            self._counts.clear()
-            self._earlier_counts.clear()
+            self._keep_connections()
             return
         self._count_bytes()
         if not self.control.is_overloaded:
@@ -271,6 +283,18 @@
                 open=len(self._callers),
             )
 
+    def _keep_connections(self) -> None:
+        """Keep the connections that are not closed yet, once the host has returned.
+
+        Their callers would come back over new connections.
+        """
+        if not self._counts:
+            return
+        for caller in self._callers:
+            caller.is_close_due = False
+        self._counts.clear()
+        self._earlier_counts.clear()
+
     def _count_bytes(self) -> None:
         """Note once a second how many bytes each connection has carried."""
         now = self._loop.time()
