link protection: late hellos on a full link do not end stepping aside

Cause: on a full link hellos of other hosts are late or lost. They counted as out of rotation after 1.5 s, so that a host would return at the worst moment.

Change: while the link is congested, hosts count as silent after 5 s.

The late hellos have no test of their own.

--- a/bronzesail/router/admission/_entry_control.py
+++ b/bronzesail/router/admission/_entry_control.py
@@ -53,7 +53,7 @@
 RETURN_GAP_S = 0.4
 # A host must be ready for more than seven eighths of the time.
 MAX_ASIDE_SHARE = 0.11
-# Allowed in any case, below an eighth of 40 s: a surge needs this long to move elsewhere.
+# Allowed in any case, below an eighth of 40 s: a surge needs this long to move away.
 MIN_ALLOWANCE_S = 4.8
 ALLOWANCE_WINDOW_S = 600.0
 # A link is wide if it has this many times the surge to spare. What a saturated host
--- a/bronzesail/router/admission/_link_usage.py
+++ b/bronzesail/router/admission/_link_usage.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ["LONG_WINDOW_S", "SHORT_WINDOW_S", "LinkUsage"]
+__all__ = ["BYTES_PER_S_PER_MBPS", "LONG_WINDOW_S", "SHORT_WINDOW_S", "LinkUsage"]
 
 SHORT_WINDOW_S = 0.25
 LONG_WINDOW_S = 1.0
--- a/bronzesail/router/link_protection.py
+++ b/bronzesail/router/link_protection.py
@@ -6,6 +6,9 @@
 from typing import TYPE_CHECKING
 
 from .admission import (
+    BYTES_PER_S_PER_MBPS,
+    LONG_WINDOW_S,
+    SHORT_WINDOW_S,
     EntryControl,
     EntryState,
     LinkAdmission,
@@ -14,6 +17,7 @@
     LinkUsage,
     ZoneHost,
 )
+from .peers import LIVE_TIMEOUT_S
 
 if TYPE_CHECKING:
     import random
@@ -29,13 +33,14 @@
 
 TICK_S = 0.1
 IDLE_TICK_S = 0.25  # A processor that many routers share is spared.
-SHORT_WINDOW_S = 0.25
-LONG_WINDOW_S = 1.0
 SAMPLED_USE = 0.5  # Write buffers are sampled while the link is used more than this.
 CLOSED_SHARE = 0.05  # Of the connections that are closed in one tick.
 MIN_CLOSED = 2
 COUNT_INTERVAL_S = 1.0  # Over which the bytes of a connection are compared.
 FORGET_RESPONSES_S = 60.0
+# On a full link hellos are late or lost. Hosts that are silent for less than this do
+# not count as out of rotation then; a host that steps aside would return too early.
+MAX_SILENCE_S = 5.0
 # After saturation; longer than the usual timeout of a first response.
 CONGESTION_MEMORY_S = 1.0
 MAX_PERCENT = 1000
@@ -231,7 +236,8 @@
 
     def _list_zone(self, peers: Peers) -> list[ZoneHost]:
         """Return the other hosts of the data centre."""
-        live = {peer.hello.host: peer for peer in peers.list_heard()}
+        silence_s = MAX_SILENCE_S if self.is_congested() else LIVE_TIMEOUT_S
+        live = {peer.hello.host: peer for peer in peers.list_heard(silence_s)}
         return [
             _make_zone_host(host, link_mbps, live.get(host))
             for host, link_mbps in self._neighbourhood.list_zone_links().items()
@@ -311,7 +317,7 @@
 
 def _make_zone_host(host: str, link_mbps: float, peer: Peer | None) -> ZoneHost:
     """Return what is known of a host; without a recent hello only its link is."""
-    bytes_per_s = max(0.0, link_mbps) * 125_000
+    bytes_per_s = max(0.0, link_mbps) * BYTES_PER_S_PER_MBPS
     if peer is None:
         return ZoneHost(host=host, bytes_per_s=bytes_per_s, is_heard=False)
     hello = peer.hello
--- a/bronzesail/router/peers.py
+++ b/bronzesail/router/peers.py
@@ -44,7 +44,7 @@
     from .neighbourhood import Neighbourhood
     from .server_limits import LimitReport, ServerLimits
 
-__all__ = ["Peer", "Peers"]
+__all__ = ["LIVE_TIMEOUT_S", "Peer", "Peers"]
 
 HELLO_INTERVAL_S = 0.4  # Spreads changes within half a second; a hello has 300 bytes.
 LIVE_TIMEOUT_S = 1.5  # A peer without a hello for this long is not asked for tokens.
@@ -232,13 +232,13 @@
     def _digest_hosts(self, zone: str) -> int:
         return compute_hosts_digest(self._neighbourhood.list_hosts(zone))
 
-    def list_heard(self) -> list[Peer]:
+    def list_heard(self, max_silence_s: float = LIVE_TIMEOUT_S) -> list[Peer]:
         """Return the peers with a recent hello."""
         now = self._loop.time()
         return [
             peer
             for peer in self.by_host.values()
-            if now - peer.last_hello_at < LIVE_TIMEOUT_S
+            if now - peer.last_hello_at < max_silence_s
         ]
 
     def list_live(self) -> list[Peer]:
