--- a/bronzesail/router/link_protection.py
+++ b/bronzesail/router/link_protection.py
@@ -6,17 +6,22 @@
 from typing import TYPE_CHECKING
 
 from .admission import (
+    BYTES_PER_S_PER_MBPS,
+    LONG_WINDOW_S,
+    SHORT_WINDOW_S,
     EntryControl,
+    EntryState,
     LinkAdmission,
     LinkRequest,
     LinkSample,
     LinkUsage,
     ZoneHost,
 )
+from .peers import LIVE_TIMEOUT_S
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Collection, Hashable
+    from collections.abc import Callable, Collection, Hashable, Sequence
 
     from .caller import CallerConnection
     from .client import ClientPool, Connection
@@ -27,19 +32,20 @@
 __all__ = ["LinkProtection"]
 
 TICK_S = 0.1
-SHORT_WINDOW_S = 0.25
-LONG_WINDOW_S = 1.0
+IDLE_TICK_S = 0.25  # A processor that many routers share is spared.
 SAMPLED_USE = 0.5  # Write buffers are sampled while the link is used more than this.
 CLOSED_SHARE = 0.05  # Of the connections that are closed in one tick.
 MIN_CLOSED = 2
 COUNT_INTERVAL_S = 1.0  # Over which the bytes of a connection are compared.
 FORGET_RESPONSES_S = 60.0
+# On a full link hellos are late or lost. Hosts that are silent for less than this do
+# not count as out of rotation then; a host that steps aside would return too early.
+MAX_SILENCE_S = 5.0
 # After saturation; longer than the usual timeout of a first response.
 CONGESTION_MEMORY_S = 1.0
 MAX_PERCENT = 1000
 # Retry-After of a refused request where the host keeps its callers, multiplied by the
-# demand. Bodies of requests that return too early fill the link on their own: with an
-# early return a host with 1.2 times its capacity answers nothing in time.
+# demand. Bodies of requests that return too early fill the link on their own.
 RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 3.0
 # Retry-After where the balancer already sends callers to other hosts.
@@ -137,22 +143,34 @@
             Called when the host has begun or ceased to step aside.
         """
         while True:
-            due_at = self._loop.time() + TICK_S
-            await asyncio.sleep(TICK_S)
+            interval_s = self._find_interval_s()
+            due_at = self._loop.time() + interval_s
+            await asyncio.sleep(interval_s)
             self.usage.loop_lag_s = max(0.0, self._loop.time() - due_at)
             if not self.is_active:
                 continue
             self._sample_unsent(pool)
             was_aside = self.control.is_aside
-            if self.control.update(self._make_sample(), self._list_zone(peers)):
-                self._log_state()
+            self.update(self._list_zone(peers))
             if self.control.is_aside is not was_aside:
                 on_change()
-            self._close_some()
             self.usage.response_times.forget_before(
                 self._loop.time() - FORGET_RESPONSES_S
             )
 
+    def update(self, zone: Sequence[ZoneHost]) -> None:
+        """Decide by a new sample of the link and by the hosts of the data centre."""
+        if self.control.update(self._make_sample(), zone):
+            self._log_state()
+        self._close_some()
+
+    def _find_interval_s(self) -> float:
+        """Return the time until the next sample, which is longer on an idle link."""
+        if self.control.state is not EntryState.NORMAL:
+            return TICK_S
+        use = self.usage.compute_use(SHORT_WINDOW_S)
+        return TICK_S if use >= SAMPLED_USE else IDLE_TICK_S
+
     # Requests.
 
     def admit(
@@ -218,7 +236,8 @@
 
     def _list_zone(self, peers: Peers) -> list[ZoneHost]:
         """Return the other hosts of the data centre."""
-        live = {peer.hello.host: peer for peer in peers.list_heard()}
+        silence_s = MAX_SILENCE_S if self.is_congested() else LIVE_TIMEOUT_S
+        live = {peer.hello.host: peer for peer in peers.list_heard(silence_s)}
         return [
             _make_zone_host(host, link_mbps, live.get(host))
             for host, link_mbps in self._neighbourhood.list_zone_links().items()
@@ -249,8 +268,7 @@
     def _close_some(self) -> None:
         """Close a few connections, busiest first, once callers are sent elsewhere."""
         if not self.control.is_aside:
-            self._counts.clear()
-            self._earlier_counts.clear()
+            self._keep_connections()
             return
         self._count_bytes()
         if not self.control.is_overloaded:
@@ -271,6 +289,18 @@
                 open=len(self._callers),
             )
 
+    def _keep_connections(self) -> None:
+        """Keep the connections that are not closed yet, once the host has returned.
+
+        Their callers would come back over new connections.
+        """
+        if not self._counts:
+            return
+        for caller in self._callers:
+            caller.is_close_due = False
+        self._counts.clear()
+        self._earlier_counts.clear()
+
     def _count_bytes(self) -> None:
         """Note once a second how many bytes each connection has carried."""
         now = self._loop.time()
@@ -287,7 +317,7 @@
 
 def _make_zone_host(host: str, link_mbps: float, peer: Peer | None) -> ZoneHost:
     """Return what is known of a host; without a recent hello only its link is."""
-    bytes_per_s = max(0.0, link_mbps) * 125_000
+    bytes_per_s = max(0.0, link_mbps) * BYTES_PER_S_PER_MBPS
     if peer is None:
         return ZoneHost(host=host, bytes_per_s=bytes_per_s, is_heard=False)
     hello = peer.hello
