admission: overdue responses refuse no request

A full link of the host delays the responses of all servers, so that all of them would look overdue and each new request would be refused as late. Optimistic estimates leave overdue responses out. A test shows that no request is withdrawn without room in the retry budget.

--- a/bronzesail/router/placement.py
+++ b/bronzesail/router/placement.py
@@ -314,7 +314,8 @@
     ) -> float:
         """Return the expected seconds from a send to the first event.
 
-        An optimistic estimate ignores a reported load that is no longer fresh.
+        An optimistic estimate ignores a reported load that is no longer fresh, and
+        overdue responses, which a slow link of this host delays at all servers.
         """
         load = self.get_load(server.id)
         n_requests = self.estimate_requests(server.id, now)
@@ -333,7 +334,9 @@
         expected_s += self._estimate_distance(server)
         if server.cold_left_s > 0:
             expected_s += COLD_START_COST_S
-        return expected_s + self.speed.find_overdue_s(server.id)
+        if not is_optimistic:
+            expected_s += self.speed.find_overdue_s(server.id)
+        return expected_s
 
     def estimate_least_time_s(
         self,
@@ -347,7 +350,7 @@
         """Return the least expected time at servers with a free slot.
 
         It is infinite if there are none. Ejected servers do not count. An optimistic
-        estimate includes full servers, and ignores reports that are no longer fresh.
+        estimate includes full servers; see `estimate_time_s`.
         Once a server is expected to take at most `enough_s`, the others are skipped.
         """
         now = self._now()
--- a/tests/test_router/test_start_times.py
+++ b/tests/test_router/test_start_times.py
@@ -267,3 +267,7 @@
     assert estimate() > 10.0
     clock.now += REPORT_FRESH_S + 0.1
     assert estimate() < 0.1
+    # Nor for responses that a slow link of this host delays at all servers.
+    placement.speed.note_sent(servers[0], 1, 0.1)
+    clock.now += 20.0
+    assert estimate() < 0.1
--- a/tests/test_router/test_uneven_servers.py
+++ b/tests/test_router/test_uneven_servers.py
@@ -173,8 +173,13 @@
     assert not make_wait(1.0, float("inf")).is_worth_withdrawing(101.0)
 
 
-def test_a_request_is_withdrawn_from_a_server_that_became_slow(tmp_path):
-    # Guards against a tag that waits at a slow server until its deadline.
+# Guards against a tag that waits at a slow server until its deadline, and against one
+# that is withdrawn though the retry budget then refuses it. The budget is a share of the
+# requests.
+@pytest.mark.parametrize(("n_requests", "n_withdrawn"), [(60, 1), (5, 0)])
+def test_a_request_is_withdrawn_from_a_slow_server_within_the_retry_budget(
+    tmp_path, n_requests, n_withdrawn
+):
     async def run():
         async with Deployment(tmp_path) as deployment:
             deployment.store.put("op", "config", make_configuration())
@@ -191,15 +196,15 @@
                 backend.more_headers = (("X-Server-Load", "0,0,8,100"),)
             router = await deployment.start_router("h1")
             await wait_until(router.app.is_ready)
-            for _ in range(60):  # The retry budget is a share of the requests.
+            for _ in range(n_requests):
                 assert (await deployment.send(router, "/look/1", b"x"))[0] == 200
             late.append(True)
             loop = asyncio.get_running_loop()
             began_at = loop.time()
             assert (await deployment.send(router, "/look/2", b"x"))[0] == 200
-            assert 0.2 < loop.time() - began_at < 1.0
+            assert (0.2 < loop.time() - began_at < 1.0) == bool(n_withdrawn)
             placement = router.app.placement
-            assert placement.speed.n_withdrawn == 1
+            assert placement.speed.n_withdrawn == n_withdrawn
             for name in ("p1", "p2"):
                 assert placement.get_load(name).consecutive_failures == 0
 
