--- a/tests/test_router/test_uneven_servers.py
+++ b/tests/test_router/test_uneven_servers.py
@@ -174,7 +174,7 @@
 
 
 # Guards against a tag that waits at a slow server until its deadline, and against one
-# that is withdrawn though the retry budget then refuses it. The budget is a share of the
+# that is withdrawn though the retry budget then refuses it. It is a share of all
 # requests.
 @pytest.mark.parametrize(("n_requests", "n_withdrawn"), [(60, 1), (5, 0)])
 def test_a_request_is_withdrawn_from_a_slow_server_within_the_retry_budget(
