benchmarks, docs: what fresh reports would be worth

Reports come with responses only, so that a router with few requests has old ones. The replay takes a number of engines to ask before each choice; the router asks none.

--- a/benchmarks/uneven_servers.py
+++ b/benchmarks/uneven_servers.py
@@ -90,11 +90,18 @@
     """The state of one replay."""
 
     def __init__(
-        self, n_routers: int, n_engines: int, seed: int, *, reports_speed: bool
+        self,
+        n_routers: int,
+        n_engines: int,
+        seed: int,
+        *,
+        reports_speed: bool,
+        n_probes: int,
     ) -> None:
         self.now = 0.0
         self._random = random.Random(seed)
         self._reports_speed = reports_speed
+        self._n_probes = n_probes
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
         self._engines = {
@@ -163,6 +170,7 @@
     ) -> Callable[[], None]:
         def arrive() -> None:
             router = self._random.choice(self._routers)
+            self._probe(router)
             n_tokens = int(tokens * self._random.uniform(0.5, 1.5))
             work = Work(tokens=n_tokens, objective_s=objective_s)
             server = router.choose(self._servers, work, ENGINE)
@@ -181,6 +189,18 @@
 
         return arrive
 
+    def _probe(self, router: Placement) -> None:
+        """Ask random engines for their reports, which arrive without a delay."""
+        if not self._n_probes:
+            return
+        for engine in self._random.sample([*self._engines.values()], self._n_probes):
+            router.note_load_report(
+                engine.server.id,
+                engine.running,
+                len(engine.waiting),
+                engine.slowness if self._reports_speed else None,
+            )
+
     def _enter(self, engine: _Engine, request: _Request) -> None:
         """Queue a request at an engine."""
         engine.waiting.append(request)
@@ -234,6 +254,7 @@
     duration_s: float = 60.0,
     load: float = 1.0,
     seed: int = 1,
+    n_probes: int = 0,
 ) -> Result:
     """Replay the placement of a fleet.
 
@@ -251,8 +272,13 @@
         Factor on the request rates of `CLASSES`.
     seed : int
         Seed of all random numbers.
+    n_probes : int
+        Engines that are asked for their reports before each choice, which the router
+        does not do.
     """
-    run = _Replay(n_routers, n_engines, seed, reports_speed=reports_speed)
+    run = _Replay(
+        n_routers, n_engines, seed, reports_speed=reports_speed, n_probes=n_probes
+    )
     run.run(duration_s, load)
     delays = sorted(delay for delay, _ in run.delays)
     return Result(
@@ -272,6 +298,7 @@
     parser.add_argument("--duration-s", type=float, default=60.0)
     parser.add_argument("--load", type=float, default=1.0)
     parser.add_argument("--seeds", type=int, default=3)
+    parser.add_argument("--probes", type=int, default=0)
     options = parser.parse_args()
     for seed in range(1, options.seeds + 1):
         for reports_speed in (False, True):
@@ -282,6 +309,7 @@
                 duration_s=options.duration_s,
                 load=options.load,
                 seed=seed,
+                n_probes=options.probes,
             )
             values = " ".join(
                 f"{name}={value:.3f}" for name, value in attrs.asdict(result).items()
