--- a/bronzesail/router/services.py
+++ b/bronzesail/router/services.py
@@ -86,6 +86,7 @@
     disabled_features: frozenset[Feature] = frozenset()
     _retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
+    _services_with_speed: set[str] = attrs.field(factory=set)
 
     def is_enabled(self, feature: Feature) -> bool:
         """Whether a feature was not switched off."""
@@ -150,6 +151,7 @@
             )
         if head.status == 421:
             return
+        self._note_speed(server, head)
         self._note_limit(server, head)
         if self.cold.note_answer(server, head.cold_left_s):
             self.log_cold(server)
@@ -175,6 +177,17 @@
             share_per_s=self.cold.find_share(server),
         )
 
+    def _note_speed(self, server: BackendServer, head: AnswerHead) -> None:
+        """Log that the servers of a service report their speed, at the first report."""
+        if head.slowness is None or server.service in self._services_with_speed:
+            return
+        if not self.placement.speed.is_reporting(server.id):
+            return
+        self._services_with_speed.add(server.service)
+        self.log.write(
+            "speed: servers report it", service=server.service, server=server.id
+        )
+
     def _note_limit(self, server: BackendServer, head: AnswerHead) -> None:
         """Record the limit that an answer names, or that it names none.
 
