--- a/bronzesail/router/admission_queue.py
+++ b/bronzesail/router/admission_queue.py
@@ -12,6 +12,7 @@
 import attrs
 
 from ..model import BackendServer, Engine
+from .eligibility import combine_regions
 from .placement import Work
 from .withdrawals import RAMP_S
 
@@ -237,13 +238,22 @@
             return None
         limited = [share for share in shares if share is not None]
         if rank is not None and len(limited) == len(shares) and sum(limited) > 0:
-            earliest += self._count_ahead(service, rank) / sum(limited)
+            earliest += self._count_ahead(service, rank, regions) / sum(limited)
         return earliest
 
-    def _count_ahead(self, service: str, rank: int) -> int:
-        """Return how many queued requests go before a new one of a priority."""
-        queue = self._queues.get(service, ())
-        return sum(other <= rank and not w.future.done() for other, _, w in queue)
+    def _count_ahead(
+        self, service: str, rank: int, regions: frozenset[str] | None
+    ) -> int:
+        """Return how many queued requests go before a new one of a priority.
+
+        Those that have no home region in common with it do not count.
+        """
+        return sum(
+            other <= rank
+            and not queued.future.done()
+            and combine_regions(regions, queued.find_regions()) != frozenset()
+            for other, _, queued in self._queues.get(service, ())
+        )
 
     def note_pause(self, service: str, ends_at: float) -> None:
         """End the wait of requests that no server will accept in time.
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -470,6 +470,26 @@
         self.store.put("servers", server_id, backend.make_entry())
         return backend
 
+    async def start_zones(self, body, behave, region_by_zone):
+        """Configure the fleet and start servers of both services in each zone."""
+        self.region_by_zone = region_by_zone
+        self.store.put("op", "config", body)
+        for zone in region_by_zone:
+            for service in ("app", "llm"):
+                name = f"{service}-{zone}"
+                await self.start_backend(name, service, behave, zone=zone)
+
+    async def start_ready_router(self, name, **options):
+        """Start a router and wait until it is ready and knows all servers."""
+        router = await self.start_router(name, **options)
+        await wait_until(lambda: len(router.app.directory) == len(self.backends))
+        await wait_until(router.app.is_ready)
+        return router
+
+    def count_arrivals(self, zone):
+        """Return how many requests have arrived at the servers of a data centre."""
+        return sum(len(b.arrivals) for b in self.backends if b.zone == zone)
+
     async def open_store_link(self, path=None):
         """Start a simulated link of one router to the store and return it.
 
@@ -582,6 +602,16 @@
         return await exchange_raw(router, request)
 
 
+def play(folder, scenario):
+    """Run a coroutine function with a new deployment."""
+
+    async def run():
+        async with Deployment(folder) as deployment:
+            await scenario(deployment)
+
+    asyncio.run(run())
+
+
 async def exchange_raw(router, request):
     """Send raw bytes and return the first response's status, headers and body.
 
