router: reserving and charging the tokens of a request is a class of its own

exchange.py had grown by the calls into the new parts. What a request reserves, transfers and is charged moves to request_charge.py; no behaviour changes.

--- a/bronzesail/router/exchange.py
+++ b/bronzesail/router/exchange.py
@@ -28,6 +28,7 @@
 from .placement import Work
 from .poison import make_fingerprint
 from .relay import Ending, Outcome, Relay, StreamState
+from .request_charge import RequestCharge
 from .stream_resumption import look_up_beginning
 from .stream_versions import UNDETERMINED
 
@@ -136,18 +137,14 @@
         self._may_have_run = False
         self._homes = HomeRegions(services.configuration, self._find_origin)
         self._fingerprint = ""
-        self._reserved_tokens = 0
-        self._charged_tokens = 0
-        self._is_prompt_charged = False  # By the router that has forwarded it.
+        self._charge: RequestCharge | None = None  # Once its account is known.
         self._stream: StreamState | None = None
         # Software version of the server that began the stream, once it has begun.
         self._version: str | None = None
         self._tried_server_ids: list[str] = []
         self._connector = Connector(services, self._tried_server_ids)
         self._asked_hosts: list[str] = []  # Routers that it was forwarded to.
-        self._forwarded_events = 0  # Relayed from other routers, which charge them.
         self._outcome_label = "aborted"
-        self._token_wait_s = 0.0
         self._place_wait_s = 0.0
         self._task = self._loop.create_task(self._run())
 
@@ -209,6 +206,8 @@
             )
         self._route = self._find_route(configuration)
         self._account = self._find_account(configuration)
+        if self._account is not None:
+            self._charge = RequestCharge(self._services, self._account, self._head)
         self._choose_service(configuration)
         self._check_link()
         if await self._forward_if_cut_off():
@@ -355,27 +354,12 @@
 
     async def _reserve(self) -> None:
         """Reserve the most tokens that the request can cost, if its account prepays."""
-        assert self._head is not None
-        account = self._account
-        if account is None or account.prepaid_tokens is None:
-            return
-        self._claim_reservation()
-        tokens = self._head.max_tokens - self._charged_tokens
-        if tokens <= 0 or self._reserved_tokens:
+        if self._charge is None:
             return
         max_wait_s = (self._deadline_at - self._loop.time()) * MAX_WAIT_SHARE
-        asked_at = self._loop.time()
-        refusal = await self._services.desk.reserve(
-            account.name,
-            tokens,
-            max_wait_s,
-            self._head.request_id,
-            is_continuation=self._head.last_event_id is not None,
-        )
-        self._token_wait_s = self._loop.time() - asked_at
+        refusal = await self._charge.reserve(max_wait_s)
         if refusal is not None:
             raise _RefusedError(refusal)
-        self._reserved_tokens = tokens
 
     async def _try_one_server(self) -> bool:
         """Try one server; return whether the caller has received the final response."""
@@ -427,7 +411,8 @@
             target, connection = found
             self._asked_hosts.append(target.host)
             self._connection = connection
-            await self._transfer_reservation(target)
+            if self._charge is not None:
+                await self._charge.transfer(target, self._compute_charge())
             if not self._services.forwarder.is_in_regions(target, self._homes.find()):
                 self._close_connection()
                 continue
@@ -471,8 +456,8 @@
             outcome = await self._wait_for_response(None, relay)
         finally:
             relay.release()
-            if self._stream is not None:
-                self._forwarded_events += self._stream.events - events_before
+            if self._stream is not None and self._charge is not None:
+                self._charge.forwarded_events += self._stream.events - events_before
         self._release_connection(connection, outcome)
         self._services.log.write(
             "request: forwarded",
@@ -1127,66 +1112,19 @@
         if connection is not None:
             connection.close()
 
-    def _claim_reservation(self) -> None:
-        """Take over the tokens that the forwarding router has transferred, if any."""
-        assert self._account is not None and self._head is not None
-        if self._head.earlier_sends is None:
-            return
-        tokens = self._services.book.claim_reservation(
-            self._account.name, self._head.request_id
-        )
-        if tokens:
-            # Late ones are settled with those that were reserved here meanwhile.
-            self._reserved_tokens += tokens
-            self._is_prompt_charged = tokens < self._head.max_tokens
-
-    async def _transfer_reservation(self, target: Target) -> None:
-        """Charge the tokens used and transfer the rest to the router asked next."""
-        if not self._reserved_tokens:
-            return
-        assert self._account is not None and self._head is not None
-        account, request_id = self._account.name, self._head.request_id
-        used = self._compute_charge() - self._charged_tokens
-        tokens = self._services.book.transfer_reservation(
-            account, self._reserved_tokens, used
-        )
-        self._reserved_tokens = 0
-        self._charged_tokens += used
-        if tokens:
-            await self._services.forwarder.transfer_reservation(
-                target, account, tokens, request_id
-            )
-
     def _settle(self) -> None:
         """Charge the tokens used and release the rest of the reservation."""
-        if self._account is None or self._head is None:
-            return
-        self._claim_reservation()  # If it was refused before it reserved any.
-        if not self._reserved_tokens:
-            return
-        used = self._compute_charge() - self._charged_tokens
-        self._services.book.settle(self._account.name, self._reserved_tokens, used)
-        self._reserved_tokens = 0
-        self._charged_tokens += used
-        self._services.desk.serve_waiters()
+        if self._charge is not None:
+            self._charge.settle(self._compute_charge())
 
     def _compute_charge(self) -> int:
-        """Return the tokens that the account is charged.
-
-        The charge covers the prompt and the events relayed to the caller. A request
-        without any response is free, unless its caller closed the connection after it
-        was sent to a server. What another router has charged is not part of it.
-        """
-        assert self._head is not None
-        events = self._stream.events if self._stream else 0
-        events -= self._forwarded_events
-        was_abandoned = self._attempts > 0 and self._outcome_label == "caller gone"
-        if not events and self._outcome_label != "ok" and not was_abandoned:
-            return 0
-        tokens_per_event = self._engine.tokens_per_event if self._engine else 0
-        prompt_tokens = 0 if self._is_prompt_charged else self._head.prompt_tokens
-        return prompt_tokens + min(
-            self._head.max_output_tokens, events * tokens_per_event
+        """Return the tokens that the account is charged."""
+        assert self._charge is not None
+        return self._charge.compute(
+            events=self._stream.events if self._stream else 0,
+            tokens_per_event=self._engine.tokens_per_event if self._engine else 0,
+            is_answered=self._outcome_label == "ok",
+            was_abandoned=self._attempts > 0 and self._outcome_label == "caller gone",
         )
 
     @property
@@ -1210,8 +1148,8 @@
             account=self._account.name if self._account else None,
             config=self._services.configuration.version,
             tokens=self._head.max_tokens if self._head else None,
-            charged=self._charged_tokens,
-            token_wait_s=round(self._token_wait_s, 4),
+            charged=self._charge.charged_tokens if self._charge else 0,
+            token_wait_s=round(self._charge.wait_s, 4) if self._charge else 0.0,
             place_wait_s=round(self._place_wait_s, 4),
             sends=self._sends,
             misdirected=self._misdirected_sends,
