link protection: a test that a host stays where all links are saturated

Cause: nothing guarded the case of a data centre in which no host can take the surge.

Change: the test of wide links covers saturated narrow ones as well.

Measured: tests/test_router/test_entry_control.py passes.

--- a/tests/test_router/test_entry_control.py
+++ b/tests/test_router/test_entry_control.py
@@ -133,10 +133,14 @@
     assert control.is_aside is may_step
 
 
-# A surge that fills a wide link would only bury the narrow ones.
-def test_a_wide_host_keeps_what_narrow_ones_cannot_carry():
+# A surge that fills a wide link, or all links, would only bury the next host.
+@pytest.mark.parametrize(
+    ("own", "zone"),
+    [(WIDE, make_zone(n_wide=1)), (NARROW, make_zone(n_wide=0, use=0.9))],
+)
+def test_a_host_keeps_what_no_other_one_can_carry(own, zone):
     _, control = make_control()
-    control.update(make_sample(0.95, bytes_per_s=WIDE), make_zone(n_wide=1))
+    control.update(make_sample(0.95, bytes_per_s=own), zone)
     assert control.state is EntryState.SHEDDING
 
 
