--- a/tests/test_router/test_evacuations.py
+++ b/tests/test_router/test_evacuations.py
@@ -67,7 +67,7 @@
     changes = answer(8, row("z1", 3), removal, row("z1", 6))
     evacuations.note_answer(changes, is_whole=False)
     assert evacuations.is_evacuated("z1")
-    evacuations.note_answer(answer(9, removal), is_whole=False)
+    evacuations.note_answer(answer(9, row("z1", 7), removal), is_whole=False)
     assert not evacuations.is_evacuated("z1")
     rows = answer(19, row("z1", 15), row("z2", 16))
     evacuations.note_answer(rows, is_whole=True)
--- a/tests/test_router/test_home_regions.py
+++ b/tests/test_router/test_home_regions.py
@@ -23,12 +23,14 @@
 )
 
 REGIONS = {"z1": "r1", "z2": "r2"}
+MAX_REFUSAL_S = 2.5  # Half of the time that requests wait for a place at most.
 
 
 def make_homes(version, route=(), account=(), open_path=None, **changes):
     """Return a configuration; only the route of `open_path` has no home regions."""
     body = make_configuration(version, **changes)
     for entry in body["routes"]:
+        entry["timeoutMs"] = 20_000  # A quarter of which requests may wait.
         entry["allowedRegions"] = [] if entry["prefix"] == open_path else list(route)
     body["tenants"][0]["allowedRegions"] = list(account)
     return body
@@ -140,7 +142,16 @@
         await wait_until(lambda: line.count_waiting("app") == 1)
         deployment.store.put("op", "config", make_homes(3, ["r2"], ["r1"]))
         refused.append(asyncio.create_task(deployment.send(router, "/book/1")))
-        for status, headers, _ in await asyncio.gather(*refused):
+        async with asyncio.timeout(MAX_REFUSAL_S):
+            results = await asyncio.gather(*refused)
+        deployment.store.put("op", "config", make_homes(4, ["r2"]))
+        await wait_until(lambda: router.app.configuration.version == 4)
+        refused = await begin("/book/1", 1, "z2", 32)
+        await wait_until(lambda: line.count_waiting("app") == 1)
+        deployment.store.put("op", "evacuate/z2", {})
+        async with asyncio.timeout(MAX_REFUSAL_S):
+            results += await asyncio.gather(*refused)
+        for status, headers, _ in results:
             assert (status, headers["x-result-code"]) == (503, "BZ1501")
             assert float(headers["retry-after"]) > 0
         released.set()
@@ -150,6 +161,26 @@
     play(tmp_path, scenario)
 
 
+# Guards against a change of home regions that arrives while a connection is opened.
+def test_home_regions_are_checked_again_before_the_send(tmp_path):
+    async def scenario(deployment):
+        await deployment.start_zones(make_homes(1, ["r1"]), echo_body, REGIONS)
+        router = await deployment.start_ready_router("h1")
+        open_connection = router.app.pool.open
+        new = json.dumps(make_homes(2, ["r2"])).encode()
+
+        async def open_late(address):
+            connection = await open_connection(address)
+            router.app.configuration.apply_if_newer(new, "test")
+            return connection
+
+        router.app.pool.open = open_late
+        assert (await deployment.send(router, "/book/1"))[0] == 200
+        assert deployment.count_arrivals("z1") == 0
+
+    play(tmp_path, scenario)
+
+
 # Guards against a body that is forwarded to a router outside the home regions when
 # this router reaches no server at home.
 def test_a_request_is_forwarded_to_routers_in_its_home_regions_only(tmp_path):
@@ -169,10 +200,18 @@
         router.app.pool.open = open_unless_cut
         status, _, _ = await deployment.send(router, "/book/1")
         assert status in (429, 503)
-        await deployment.start_ready_router("far", zone="z2")
+        far = await deployment.start_ready_router("far", zone="z2")
         await wait_until(lambda: len(router.app.peers.list_live()) == 2)
+        handle, received = far.app.handle, []
+
+        def record(connection, request):
+            received.append(dict(request.headers)[b"X-Router-Regions"])
+            return handle(connection, request)
+
+        far.app.handle = record
         for _ in range(5):
             assert (await deployment.send(router, "/book/1"))[0] == 200
+        assert received == [b"r2"] * 5
         assert deployment.count_arrivals("z1") == 0
 
     play(tmp_path, scenario)
