--- a/tests/test_router/test_start_times.py
+++ b/tests/test_router/test_start_times.py
@@ -59,7 +59,7 @@
         now = self.loop.time()
         claim = Claim(deadline_at=now + deadline_s, arrived_at=now, key=name)
         server = await self.queue.find_server(
-            SERVICE, Work(tokens=100), ENGINE, [], rank, now + 5, None, claim
+            SERVICE, Work(tokens=100), ENGINE, [], rank, now + 5, claim=claim
         )
         if server is not None:
             self.served.append(name)
