router: a body without memory is refused before it counts

Cause: the first bytes of a body at the bound were counted for a connection that was not judged yet, so that it could be aborted, and its caller was not told that the request has not run and when to retry.

Change: room is looked for before the bytes count.

Result: test_a_caller_is_told_that_its_body_finds_no_memory got a reset without Retry-After before, and passes in three runs of the file.

--- a/bronzesail/router/caller.py
+++ b/bronzesail/router/caller.py
@@ -298,8 +298,8 @@
         self._unparsed_bytes = 0
         if self._has_refused:
             return
-        self._body_bytes += len(data)
-        if self._body_bytes > self._handler.get_limits().body_bytes:
+        body_bytes = self._body_bytes + len(data)
+        if body_bytes > self._handler.get_limits().body_bytes:
             self._refuse(ResultCode.BODY_TOO_LARGE, "")
             return
         if not self._memory.accepts_body(self, len(data)):
@@ -309,6 +309,7 @@
                 NO_MEMORY_RETRY_AFTER_S,
             )
             return
+        self._body_bytes = body_bytes
         self._body.append(data)
 
     def on_message_complete(self) -> None:
--- a/bronzesail/router/caller_memory.py
+++ b/bronzesail/router/caller_memory.py
@@ -169,15 +169,18 @@
             self.check()
 
     def accepts_body(self, holder: Holder, count: int) -> bool:
-        """Record `count` bytes of a request body; return whether there is room.
+        """Record `count` bytes of a request body, or return False if there is no room.
 
-        False is counted as a refused body.
+        The bytes must not be part of the connection's usage yet: at the bound, it would
+        be aborted as one that was not judged, and its caller not told when to retry.
         """
+        if self._is_enabled and self.held_bytes + count > self.limit_bytes:
+            self.check()
+            if self.held_bytes + count > self.limit_bytes:
+                self.n_refused += 1
+                return False
         self.note_growth(holder, count)
-        if not self._is_enabled or self.held_bytes <= self.limit_bytes:
-            return True
-        self.n_refused += 1
-        return False
+        return True
 
     def forget(self, holder: Holder) -> None:
         """Stop tracking a connection that has ended."""
--- a/tests/test_router/test_caller_memory.py
+++ b/tests/test_router/test_caller_memory.py
@@ -136,6 +136,23 @@
     assert not trial.list_aborted()
 
 
+# A caller whose connection is reset is not told that its request has not run.
+def test_a_caller_is_told_that_its_body_finds_no_memory(tmp_path, monkeypatch):
+    monkeypatch.setattr(caller_memory, "MEMORY_SHARE", 100 / 300_000_000)
+
+    async def run():
+        async with Deployment(tmp_path) as deployment:
+            deployment.store.put("op", "config", make_configuration())
+            router = await deployment.start_router("h1")
+            await wait_until(lambda: router.app.configuration.current is not None)
+            response = await deployment.send(router, "/book/1", b"x" * 200)
+            status, headers, body = response
+            assert (status, headers["retry-after"], body) == (429, "1.000", b"BZ1502")
+            assert router.app.caller_memory.n_aborted == 0
+
+    asyncio.run(run())
+
+
 def test_a_disabled_bound_counts_and_aborts_nothing():
     trial = Trial(is_enabled=False)
     trial.add("silent", 0, 3 * LIMIT_BYTES)
