--- a/bronzesail/router/placement.py
+++ b/bronzesail/router/placement.py
@@ -372,8 +372,7 @@
             busy_s += n_ahead * QUEUED_REQUEST_COST_S
         expected_s = busy_s * self.speed.find_factor(server)
         expected_s += self._estimate_distance(server)
-        if server.cold_left_s > 0:
-            expected_s += COLD_START_COST_S
+        expected_s += self.find_start_cost_s(server)
         if not is_optimistic:
             expected_s += self.speed.find_overdue_s(server.id)
         return expected_s
