--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -219,7 +219,7 @@
             self.placement,
             self.cold.find_cold_left_s,
             Feature.SERVER_PACE not in self._disabled_features,
-            reports_speed=lambda service: self.placement.speed.is_reported(
+            reports_speed=lambda service: self.placement.speed.is_announced(
                 self.directory.list_usable(service)
             ),
             find_slowness=self.placement.speed.find_slowness,
