router: whether servers report their speed is known by service; servers are ranked once

Cause: the merge of the pace and the reported speed asked for each candidate server whether any server of its service had reported a speed, and listed all usable servers to find out, so that the work of choosing grew with the square of their number. The dry run ranked the servers twice. The longest cold time stood in three modules of the adapter, and Services.is_enabled was used by nobody. Change: the services that have reported a speed are a set; estimates list servers only if any report is used; Placement.rank returns costs and choice together; one MAX_COLD_S in the adapter. Decisions stay as they are.

--- a/bronzesail/platform/_answers.py
+++ b/bronzesail/platform/_answers.py
@@ -8,6 +8,7 @@
 
 from ..errors import Refusal, ResultCode
 from ..model import AnswerHead
+from ._fields import MAX_COLD_S
 
 __all__ = ["AnswerHeadReader", "encode_refusal_head"]
 
@@ -25,7 +26,6 @@
 }  # fmt: skip
 DECIMAL_NUMBER = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?")
 MAX_LOAD_DIGITS = 6  # Of a reported number of requests; servers have some dozens.
-MAX_COLD_MS = 3_600_000  # Longer times are malformed.
 MAX_SLOWNESS_PERCENTAGE = 100_000  # A slower server serves nothing in time.
 MAX_ERA = 1_000_000_000  # The store's era rises by one with each restore.
 # Statuses that guarantee callers that the request was not and will not be executed.
@@ -132,7 +132,10 @@
         """Return the longest time in X-Cold-Ms, None if there is no valid one."""
         longest_ms: float | None = None
         for value in self._values_by_name.get(b"x-cold-ms", []):
-            if DECIMAL_NUMBER.fullmatch(value) is None or float(value) > MAX_COLD_MS:
+            if (
+                DECIMAL_NUMBER.fullmatch(value) is None
+                or float(value) / 1000 > MAX_COLD_S
+            ):
                 malformed.append("X-Cold-Ms")
                 continue
             longest_ms = max(longest_ms or 0.0, float(value))
--- a/bronzesail/platform/_configuration.py
+++ b/bronzesail/platform/_configuration.py
@@ -14,6 +14,7 @@
     Service,
 )
 from ._fields import (
+    MAX_COLD_S,
     MalformedError,
     decode_object,
     read_amount,
@@ -35,8 +36,6 @@
     "streaming": RequestKind.STREAM,
 }
 
-MAX_COLD_S = 3600.0  # Longer times are malformed.
-
 
 def decode_configuration(body: bytes) -> Configuration:
     """Return the configuration that `body` holds.
--- a/bronzesail/platform/_fields.py
+++ b/bronzesail/platform/_fields.py
@@ -8,6 +8,7 @@
 import msgspec
 
 __all__ = [
+    "MAX_COLD_S",
     "MalformedError",
     "decode_object",
     "read_address",
@@ -19,6 +20,8 @@
     "read_texts",
 ]
 
+MAX_COLD_S = 3600.0  # Longer times that a server is cold are malformed.
+
 # JSON numbers up to this one are exact in all implementations (RFC 8259, section 6).
 MAX_INT = 2**53 - 1
 
--- a/bronzesail/platform/_servers.py
+++ b/bronzesail/platform/_servers.py
@@ -6,6 +6,7 @@
 
 from ..model import BackendServer
 from ._fields import (
+    MAX_COLD_S,
     MalformedError,
     decode_object,
     read_address,
@@ -15,7 +16,6 @@
 
 __all__ = ["decode_server"]
 
-MAX_COLD_S = 3600.0  # Longer times are malformed.
 MALFORMED_TIME_S = -1.0
 
 
--- a/bronzesail/router/admission_queue.py
+++ b/bronzesail/router/admission_queue.py
@@ -247,9 +247,10 @@
 
     def _has_estimates(self, service: str) -> bool:
         """Whether the start of a service's requests is estimated."""
-        return self._start_times is not None and self._placement.speed.is_reported(
-            self._directory.list_usable(service)
-        )
+        speed = self._placement.speed
+        if self._start_times is None or not speed.has_reports:
+            return False
+        return speed.is_reported(self._directory.list_usable(service))
 
     def _find_order(
         self, service: str, queued: _QueuedRequest, rank: int
@@ -687,8 +688,7 @@
             for server in servers
         }
         available = [server for server in servers if reasons[server.id] is None]
-        ranked = self._placement.list_costs(available, work, engine, excluded)
-        chosen = self._placement.choose(available, work, engine, excluded)
+        ranked, chosen = self._placement.rank(available, work, engine, excluded)
         self._add_placement_reasons(reasons, ranked, excluded)
         costs = {server.id: cost for cost, server in ranked}
         for server in servers:
--- a/bronzesail/router/application.py
+++ b/bronzesail/router/application.py
@@ -219,9 +219,7 @@
             self.placement,
             self.cold.find_cold_left_s,
             Feature.SERVER_PACE not in self._disabled_features,
-            reports_speed=lambda service: self.placement.speed.is_announced(
-                self.directory.list_usable(service)
-            ),
+            reports_speed=self.placement.speed.is_announced,
             find_slowness=self.placement.speed.find_slowness,
             get_taken_back_at=self.directory.get_taken_back_at,
         )
@@ -354,7 +352,6 @@
             entry=self.entry,
             report_server_full=self.peers.send_server_full,
             announce_state=self.peers.send_hello,
-            disabled_features=self._disabled_features,
             forwarder=Forwarder(
                 settings,
                 self.peers,
--- a/bronzesail/router/estimates/_server_speed.py
+++ b/bronzesail/router/estimates/_server_speed.py
@@ -69,16 +69,13 @@
         self._now = now
         self._is_enabled = is_enabled
         self._states: dict[str, _State] = {}
-        self._announced: set[str] = set()  # Servers that have reported a slowness.
+        self._announced: set[str] = set()  # Services that have reported a slowness.
         self._correction_by_service: dict[str, float] = {}
         self.n_withdrawn = 0  # Requests withdrawn from slow servers.
 
     def note_report(self, server_id: str, slowness: float | None) -> None:
         """Record the slowness that a server has reported; None if it reports none."""
-        if slowness is None:
-            return
-        self._announced.add(server_id)
-        if not self._is_enabled:
+        if slowness is None or not self._is_enabled:
             return
         now = self._now()
         slowness = min(MAX_SLOWNESS, max(MIN_SLOWNESS, slowness))
@@ -92,9 +89,18 @@
         state = self._states.get(server_id)
         return state is not None and self._now() - state.reported_at < REPORTING_S
 
-    def is_announced(self, servers: Iterable[BackendServer]) -> bool:
-        """Whether any of the servers has ever reported its slowness, used or not."""
-        return any(server.id in self._announced for server in servers)
+    def note_announced(self, service: str) -> None:
+        """Record that a server of a service has reported its slowness, used or not."""
+        self._announced.add(service)
+
+    def is_announced(self, service: str) -> bool:
+        """Whether a server of a service has ever reported its slowness, used or not."""
+        return service in self._announced
+
+    @property
+    def has_reports(self) -> bool:
+        """Whether any report is used; `is_reported` is false otherwise."""
+        return bool(self._states)
 
     def is_reported(self, servers: Iterable[BackendServer]) -> bool:
         """Whether at least one of the servers has reported its slowness lately."""
@@ -166,7 +172,6 @@
     def retain_only(self, known: Iterable[str]) -> None:
         """Drop the servers without pending requests whose ids are not in `known`."""
         kept_ids = set(known)
-        self._announced &= kept_ids
         for server_id, state in list(self._states.items()):
             if server_id not in kept_ids and not state.pending:
                 del self._states[server_id]
--- a/bronzesail/router/head_waiting.py
+++ b/bronzesail/router/head_waiting.py
@@ -33,6 +33,8 @@
     It is None if the servers of the service do not report their speed.
     """
     placement = services.placement
+    if not placement.speed.has_reports:
+        return None
     if not placement.speed.is_reported(services.directory.list_usable(server.service)):
         return None
     expected_s = placement.estimate_time_s(
--- a/bronzesail/router/placement.py
+++ b/bronzesail/router/placement.py
@@ -233,26 +233,19 @@
         excluded : iterable of str
             Ids of servers that must not be chosen.
         """
-        return self._rank(servers, work, engine, excluded)[1]
+        return self.rank(servers, work, engine, excluded)[1]
 
-    def list_costs(
+    def rank(
         self,
         servers: Sequence[BackendServer],
         work: Work,
         engine: Engine | None,
         excluded: Iterable[str] = (),
-    ) -> list[tuple[float, BackendServer]]:
-        """Return the servers that `choose` chooses from, each with its cost."""
-        return self._rank(servers, work, engine, excluded)[0]
-
-    def _rank(
-        self,
-        servers: Sequence[BackendServer],
-        work: Work,
-        engine: Engine | None,
-        excluded: Iterable[str],
     ) -> tuple[list[tuple[float, BackendServer]], BackendServer | None]:
-        """Return the servers with their costs, and the one to choose."""
+        """Return the servers that `choose` chooses from with costs, and its choice.
+
+        The parameters are those of `choose`.
+        """
         excluded_ids = set(excluded)
         candidates = [server for server in servers if server.id not in excluded_ids]
         if not candidates:
--- a/bronzesail/router/services.py
+++ b/bronzesail/router/services.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from ..model import Feature, HostSettings
+from ..model import HostSettings
 from .admission_queue import AdmissionQueue
 from .answer_memory import AnswerMemory
 from .brittle_servers import BrittleServers
@@ -83,15 +83,10 @@
     forwarder: Forwarder
     evacuations: Evacuations
     entry: LinkProtection
-    disabled_features: frozenset[Feature] = frozenset()
     _retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
     _services_with_speed: set[str] = attrs.field(factory=set)
 
-    def is_enabled(self, feature: Feature) -> bool:
-        """Whether a feature was not switched off."""
-        return feature not in self.disabled_features
-
     def retry_budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service, creating it on first use."""
         budget = self._retry_budgets.get(service)
@@ -179,7 +174,10 @@
 
     def _note_speed(self, server: BackendServer, head: AnswerHead) -> None:
         """Log that the servers of a service report their speed, at the first report."""
-        if head.slowness is None or server.service in self._services_with_speed:
+        if head.slowness is None:
+            return
+        self.placement.speed.note_announced(server.service)
+        if server.service in self._services_with_speed:
             return
         if not self.placement.speed.is_reporting(server.id):
             return
